Prove the points that must hold over real processes

Change: packages/proof starts platform, backend servers and entries as processes, injects kill, pause, cut, silence, platform down and stale, and compares with the ledgers of the backend servers. Each refusal reason has a scenario in a record that does not compile without one.

Faults found, each kept as a test: - the caller's library sent a GET with a body without its length, so that the next request on the connection was malformed (seen: 'a graceful shutdown cuts off no request' failed with about 110 malformed-refusal); - a protected call whose only backend server refused the connection was told no-backend-server in place of connect-failed ('connect-failed' failed). The reason still-running could not be brought about and was removed.

--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -70,7 +70,6 @@
 /** Refusals that a resend of the same key may resolve. */
 const REASONS_TO_ASK_AGAIN: readonly string[] = [
   "deadline-exceeded",
-  "still-running",
   "owner-unreachable",
   "hand-over-incomplete",
 ];
--- a/packages/client/src/http_exchange.ts
+++ b/packages/client/src/http_exchange.ts
@@ -30,6 +30,13 @@
 
 const IDLE_MILLISECONDS = 2_000;
 
+/** Names the length of a body: Node leaves it out for GET. */
+function framedHeaders(exchange: ExchangeRequest): Record<string, string> {
+  const { headers, body } = exchange;
+  if (body === undefined) return { ...headers };
+  return { ...headers, "Content-Length": String(body.byteLength) };
+}
+
 /** Sends requests to entries over kept connections. */
 export class HttpExchange {
   readonly #agent = new Agent({
@@ -49,7 +56,7 @@
         agent: this.#agent,
         method: exchange.method,
         path: exchange.path,
-        headers: exchange.headers,
+        headers: framedHeaders(exchange),
       });
       const timer = setTimeout(
         () => sent.destroy(new Error("No whole answer in time")),
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -38,6 +38,7 @@
         event: "listening",
         callAddress: entry.callAddress,
         meshAddress: entry.meshAddress,
+        meshListenAddress: entry.meshListenAddress,
         incarnation: entry.incarnation,
       }) + "\n",
     );
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -64,6 +64,8 @@
 export type EntryHandle = {
   readonly callAddress: Address;
   readonly meshAddress: Address;
+  /** Where the mesh port is, when another address is advertised. */
+  readonly meshListenAddress: Address;
   readonly incarnation: string;
   /** Leaves without cutting off a call; resolves when nothing is left. */
   readonly leave: () => Promise<void>;
@@ -136,6 +138,7 @@
   #recordIssue = 0;
   #callAddress = "";
   #meshAddress = "";
+  #meshListenAddress = "";
   #leaving: Promise<void> | undefined;
 
   constructor(options: EntryOptions, policy: ChoosingPolicyPlugIn) {
@@ -227,6 +230,7 @@
     return {
       callAddress: this.#callAddress,
       meshAddress: this.#meshAddress,
+      meshListenAddress: this.#meshListenAddress,
       incarnation: this.#incarnation,
       leave: () => this.#leave(),
     };
@@ -239,8 +243,11 @@
     const mesh = splitAddress(instance.meshAddress);
     const meshPort = await this.#mesh.node.listen();
     const callPort = await this.#server.listen(call);
-    this.#callAddress = `${hostText(call.host)}:${callPort}`;
-    this.#meshAddress = `${hostText(mesh.host)}:${meshPort}`;
+    this.#callAddress = instance.advertisedCallAddress ??
+      `${hostText(call.host)}:${callPort}`;
+    this.#meshListenAddress = `${hostText(mesh.host)}:${meshPort}`;
+    this.#meshAddress = instance.advertisedMeshAddress ??
+      this.#meshListenAddress;
     this.#announce();
     await this.#learnIntentions();
     this.#state = "serving";
--- a/packages/entry/src/options.ts
+++ b/packages/entry/src/options.ts
@@ -41,6 +41,9 @@
   instance: Schema.Struct({
     callAddress: AddressOption,
     meshAddress: AddressOption,
+    /** What callers and peers connect to, where it is not what is listened to. */
+    advertisedCallAddress: Schema.optionalKey(AddressOption),
+    advertisedMeshAddress: Schema.optionalKey(AddressOption),
     failureDomain: Name,
   }),
   platform: Schema.Struct({
--- a/packages/entry/src/protected_calls.ts
+++ b/packages/entry/src/protected_calls.ts
@@ -184,7 +184,7 @@
 
   async #join(request: ProtectedRequest): Promise<ProtectedOutcome> {
     const run = this.#running.get(request.key.text);
-    if (run === undefined) return refuse(stillRunning());
+    if (run === undefined) return refuse(deadlineExceeded());
     const result = await run;
     return outcomeOfRun({ ...result, isStreamed: false });
   }
@@ -234,10 +234,6 @@
   return { end: { kind: "not-run" }, refusal, isStreamed: false };
 }
 
-function stillRunning(): Refusal {
-  return { reason: "still-running", detail: "The call has not ended yet" };
-}
-
 function deadlineExceeded(): Refusal {
   const detail = "The deadline passed before an answer came; resend the same " +
     "key to learn the outcome";
--- a/packages/entry/src/protected_runner.ts
+++ b/packages/entry/src/protected_runner.ts
@@ -54,6 +54,7 @@
 
   async run(call: ReadCall, context: RunContext): Promise<ProtectedRunResult> {
     const tried = new Set<Address>();
+    let lastRefusal: Refusal | undefined;
     for (let number = 1;; number++) {
       const placed = await this.#options.dispatcher.dispatch({
         call,
@@ -62,7 +63,7 @@
         attemptNumber: number,
         use: "protected",
       });
-      if (placed.isErr()) return notRun(placed.error);
+      if (placed.isErr()) return notRun(lastRefusal ?? placed.error);
       const attempt = placed.value;
       tried.add(attempt.server.address);
       const head = await this.#awaitHead(attempt);
@@ -70,7 +71,8 @@
       if (!provesNotRun(head.error)) return lost();
       const mayRetry = number < MOST_ATTEMPTS && !call.isRetried &&
         context.pool.retryBudget.trySpend();
-      if (!mayRetry) return notRun(refusalOfProof(head.error));
+      lastRefusal = refusalOfProof(head.error);
+      if (!mayRetry) return notRun(lastRefusal);
       this.#options.metrics.retries += 1;
     }
   }
--- a/packages/kernel/src/refusal.ts
+++ b/packages/kernel/src/refusal.ts
@@ -32,7 +32,6 @@
   | "content-mismatch"
   | "answer-lost"
   | "deadline-exceeded"
-  | "still-running"
   | "answer-not-kept"
   | "keyed-body-too-large"
   | "keyed-malformed-request";
@@ -111,7 +110,6 @@
   "content-mismatch": unknown(422, "The key belongs to another request"),
   "answer-lost": unknown(502, "The answer of the backend server was lost"),
   "deadline-exceeded": unknown(504, "The deadline passed after dispatch"),
-  "still-running": unknown(504, "The call is still running"),
   "keyed-body-too-large": unknown(413, "The body is longer than the limit"),
   "keyed-malformed-request": unknown(400, "The request is malformed"),
   "answer-not-kept": unknown(409, "The call ended but its answer is not kept"),
--- /dev/null
+++ b/packages/proof/src/at_most_once_test.ts
@@ -0,0 +1,182 @@
+import { afterEach, describe, expect, test } from "vitest";
+import type { Fleet } from "@marigoldford/stand_ins/fleet";
+import { Relay } from "@marigoldford/stand_ins/relay";
+import {
+  act,
+  deploy,
+  mint,
+  offersOf,
+  SHORT_SHUTDOWN,
+  sleep,
+  until,
+} from "./deployment.ts";
+
+const SLOW_PATH = "/desk/book?milliseconds=1500";
+
+describe("a protected action runs at most once", () => {
+  let fleet: Fleet;
+  afterEach(() => fleet.stop());
+
+  test("resends through the same and another entry, early and late", async () => {
+    fleet = await deploy({ entries: 2, backends: 2 });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    const path = "/desk/book?milliseconds=300";
+    const answers = await Promise.all([
+      act(owner, { key, path }),
+      act(owner, { key, path }),
+      act(other, { key, path }),
+    ]);
+    const late = await act(other, { key, path });
+    const bodies = new Set([...answers, late].map(({ body }) => body));
+    expect(bodies.size).toBe(1);
+    expect(late.outcome).toBe("answered");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("a first send through an entry that is not the owner", async () => {
+    fleet = await deploy({ entries: 2, backends: 2 });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    expect((await act(other, { key })).outcome).toBe("answered");
+    expect((await act(owner, { key })).outcome).toBe("answered");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("the owner is killed during the run", async () => {
+    fleet = await deploy({ entries: 2, backends: 2 });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    const first = act(owner, { key, path: SLOW_PATH }).catch(() => undefined);
+    await until(async () => await fleet.runsOf(key) === 1);
+    await owner.child.kill();
+    await first;
+    const resend = await act(other, { key, path: SLOW_PATH });
+    expect(resend.outcome).toBe("unknown");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("the owner is replaced at the same address", async () => {
+    fleet = await deploy({ entries: 2, backends: 2 });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    await act(owner, { key });
+    await owner.child.kill();
+    const { callAddress, meshAddress } = owner;
+    const replacement = await fleet.startEntry("a", {
+      instance: { callAddress, meshAddress },
+    });
+    expect((await act(replacement, { key })).outcome).toBe("unknown");
+    expect((await act(other, { key })).outcome).toBe("unknown");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("the owner is paused past the deadline and woken", async () => {
+    fleet = await deploy({ entries: 2, backends: 2 });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    const path = "/desk/book?milliseconds=400";
+    const first = act(owner, { key, path, deadlineMilliseconds: 600 });
+    await until(async () => await fleet.runsOf(key) === 1);
+    owner.child.signal("SIGSTOP");
+    const resend = await act(other, {
+      key,
+      path,
+      deadlineMilliseconds: 500,
+    });
+    expect(resend.outcome).toBe("unknown");
+    await sleep(2_000);
+    owner.child.signal("SIGCONT");
+    await first.catch(() => undefined);
+    await until(async () => (await act(other, { key, path })).outcome !== "");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("the owner is cut off from its peers", async () => {
+    const relay = new Relay();
+    const advertisedMeshAddress = await relay.listen();
+    fleet = await deploy({ entries: 1, backends: 2 });
+    const [other] = fleet.entries;
+    const owner = await fleet.startEntry("b", {
+      instance: { advertisedMeshAddress },
+    });
+    relay.setTarget(owner.meshListenAddress);
+    await until(async () => (await offersOf(other)).length === 2);
+    const key = await mint(owner);
+    relay.setMode("cut");
+    const resend = await act(other, { key, deadlineMilliseconds: 800 });
+    expect(resend.reason).toBe("owner-unreachable");
+    expect(resend.outcome).toBe("unknown");
+    expect((await act(owner, { key })).outcome).toBe("answered");
+    relay.setMode("pass");
+    await until(async () => (await act(other, { key })).outcome === "answered");
+    expect(await fleet.runsOf(key)).toBe(1);
+    relay.close();
+  });
+
+  test("the owner leaves and hands its table over", async () => {
+    fleet = await deploy({
+      entries: 3,
+      backends: 2,
+      settings: SHORT_SHUTDOWN,
+    });
+    const [owner, second, third] = fleet.entries;
+    const key = await mint(owner);
+    const unseen = await mint(owner);
+    const answer = await act(owner, { key });
+    owner.child.signal("SIGTERM");
+    expect(await owner.child.exited).toBe(0);
+    for (const entry of [second, third]) {
+      const resend = await act(entry, { key });
+      expect(resend.body).toBe(answer.body);
+      const never = await act(entry, { key: unseen });
+      expect([never.outcome, never.reason]).toEqual(["not-run", "key-closed"]);
+    }
+    expect(await fleet.runsOf(key)).toBe(1);
+    expect(await fleet.runsOf(unseen)).toBe(0);
+  });
+
+  test("the successor leaves as well", async () => {
+    fleet = await deploy({
+      entries: 3,
+      backends: 2,
+      settings: SHORT_SHUTDOWN,
+    });
+    const [owner, second, third] = fleet.entries;
+    const key = await mint(owner);
+    const answer = await act(owner, { key });
+    owner.child.signal("SIGTERM");
+    await owner.child.exited;
+    await until(async () => (await offersOf(third)).length === 2);
+    second.child.signal("SIGTERM");
+    expect(await second.child.exited).toBe(0);
+    expect((await act(third, { key })).body).toBe(answer.body);
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("the answer is lost after the run", async () => {
+    fleet = await deploy({
+      entries: 2,
+      backends: 2,
+      behaviour: { losesAnswers: true },
+    });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    expect((await act(owner, { key })).outcome).toBe("unknown");
+    expect((await act(other, { key })).outcome).toBe("unknown");
+    expect((await act(owner, { key })).outcome).toBe("unknown");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+
+  test("a late answer is stored for the resend", async () => {
+    fleet = await deploy({ entries: 2, backends: 2 });
+    const [owner, other] = fleet.entries;
+    const key = await mint(owner);
+    const path = "/desk/book?milliseconds=700";
+    const early = await act(owner, { key, path, deadlineMilliseconds: 300 });
+    expect(early.reason).toBe("deadline-exceeded");
+    const late = await act(other, { key, path, deadlineMilliseconds: 2_000 });
+    expect(late.outcome).toBe("answered");
+    expect(await fleet.runsOf(key)).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/proof/src/deployment.ts
@@ -0,0 +1,184 @@
+/**
+ * Small deployments for failure tests, and what the tests ask of them.
+ */
+import { randomUUID } from "node:crypto";
+import { mintKey } from "@marigoldford/kernel/idempotency_key";
+import type { BackendBehaviour } from "@marigoldford/stand_ins/backend_behaviour";
+import {
+  Fleet,
+  type RunningEntry,
+  type SettingsOverride,
+} from "@marigoldford/stand_ins/fleet";
+import {
+  type PlainAnswer,
+  readJson,
+  sendPlain,
+} from "@marigoldford/stand_ins/http_json";
+import {
+  deploymentLines,
+  type SheetLine,
+  writeSheet,
+} from "@marigoldford/stand_ins/sheet_writer";
+
+export type DeploymentOptions = {
+  readonly entries: number;
+  readonly backends: number;
+  readonly behaviour?: Partial<BackendBehaviour>;
+  readonly settings?: SettingsOverride;
+  readonly extraLines?: readonly SheetLine[];
+  readonly backendsPerProcess?: number;
+};
+
+/** Short times, so that a test need not wait for a real deployment's. */
+export const SHORT_SHUTDOWN: SettingsOverride = {
+  calls: { answerValidMilliseconds: 400 },
+  shutdown: { graceMilliseconds: 500 },
+};
+
+const SERVICE = "desk";
+const FAILURE_DOMAINS: readonly string[] = ["a", "b", "c", "d"];
+const POLL_MILLISECONDS = 25;
+const SETTLE_MILLISECONDS = 8_000;
+
+type Offer = {
+  readonly incarnation: string;
+  readonly keyPrefix: string;
+  readonly address: string;
+};
+
+export type Outcome = PlainAnswer & {
+  readonly outcome: string;
+  readonly reason: string;
+};
+
+export function domainOf(index: number): string {
+  return FAILURE_DOMAINS[index % FAILURE_DOMAINS.length];
+}
+
+/** Starts a deployment with one service and waits until its entries agree. */
+export async function deploy(options: DeploymentOptions): Promise<Fleet> {
+  const fleet = new Fleet();
+  await fleet.startPlatform();
+  const specifications = Array.from(
+    { length: options.backends },
+    (_, index) => ({
+      service: SERVICE,
+      failureDomain: domainOf(index),
+      behaviour: { serviceMilliseconds: 5, ...options.behaviour },
+    }),
+  );
+  await fleet.startBackends(specifications, options.backendsPerProcess);
+  await fleet.publish(writeSheet([
+    ...deploymentLines(fleet.backends),
+    ...options.extraLines ?? [],
+  ]));
+  for (let index = 0; index < options.entries; index++) {
+    await fleet.startEntry(domainOf(index), options.settings);
+  }
+  await until(() => knowEachOther(fleet.entries));
+  return fleet;
+}
+
+async function knowEachOther(
+  entries: readonly RunningEntry[],
+): Promise<boolean> {
+  for (const entry of entries) {
+    const known = await offersOf(entry).catch(() => []);
+    if (known.length < entries.length) return false;
+  }
+  return true;
+}
+
+export async function offersOf(entry: RunningEntry): Promise<Offer[]> {
+  const answer = await readJson<{ entries: Offer[] }>(
+    entry.callAddress,
+    "/marigoldford/entries",
+  );
+  return answer.entries;
+}
+
+/** Polls until a condition holds; fails after the bound. */
+export async function until(
+  holds: () => Promise<boolean> | boolean,
+  boundMilliseconds: number = SETTLE_MILLISECONDS,
+): Promise<number> {
+  const startedAt = performance.now();
+  for (;;) {
+    if (await holds()) return performance.now() - startedAt;
+    if (performance.now() - startedAt > boundMilliseconds) {
+      throw new Error(`Not true within ${boundMilliseconds} ms: ${holds}`);
+    }
+    await sleep(POLL_MILLISECONDS);
+  }
+}
+
+export function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** A key that `entry` owns. */
+export async function mint(entry: RunningEntry): Promise<string> {
+  const own = (await offersOf(entry)).find(({ incarnation }) =>
+    incarnation === entry.incarnation
+  );
+  if (own === undefined) throw new Error("The entry does not offer itself");
+  return mintKey(own.keyPrefix, randomUUID());
+}
+
+export type ProtectedSend = {
+  readonly key?: string;
+  readonly path?: string;
+  readonly body?: string;
+  readonly deadlineMilliseconds?: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly timeoutMilliseconds?: number;
+};
+
+/** Sends a protected call to one entry and reads its outcome. */
+export async function act(
+  entry: RunningEntry,
+  send: ProtectedSend,
+): Promise<Outcome> {
+  const deadline = send.deadlineMilliseconds ?? 2_000;
+  const answer = await sendPlain(entry.callAddress, {
+    method: "POST",
+    path: send.path ?? `/${SERVICE}/book`,
+    body: send.body ?? "boots",
+    headers: {
+      ...(send.key === undefined ? {} : { "Idempotency-Key": send.key }),
+      "Marigoldford-Deadline-Milliseconds": String(deadline),
+      ...send.headers,
+    },
+    timeoutMilliseconds: send.timeoutMilliseconds ?? 12_000,
+  });
+  return withOutcome(answer);
+}
+
+/** Sends a repeatable call to one entry. */
+export async function look(
+  entry: RunningEntry,
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Outcome> {
+  return withOutcome(await sendPlain(entry.callAddress, { path, headers }));
+}
+
+function withOutcome(answer: PlainAnswer): Outcome {
+  const outcome = String(answer.headers["marigoldford-outcome"] ?? "");
+  const isProblem = answer.headers["content-type"]?.includes("problem");
+  const type = isProblem ? JSON.parse(answer.body).type as string : "";
+  return { ...answer, outcome, reason: type.split(":").pop() ?? "" };
+}
+
+/** Sum of a count over the ledgers of all backend servers that answer. */
+export async function sumLedgers(
+  fleet: Fleet,
+  count: "arrivals" | "crashes" | "cancelled" | "refusals" | "healthPolls",
+): Promise<number> {
+  let sum = 0;
+  for (const { address } of fleet.backends) {
+    const ledger = await fleet.ledger(address).catch(() => undefined);
+    sum += ledger?.[count] ?? 0;
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/proof/src/refusals_test.ts
@@ -0,0 +1,327 @@
+import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import {
+  REFUSAL_RULES,
+  type RefusalReason,
+} from "@marigoldford/kernel/refusal";
+import { MeshNode } from "@marigoldford/mesh/mesh_node";
+import type { Fleet, RunningEntry } from "@marigoldford/stand_ins/fleet";
+import { Relay } from "@marigoldford/stand_ins/relay";
+import { serviceRule } from "@marigoldford/stand_ins/sheet_writer";
+import {
+  act,
+  deploy,
+  look,
+  mint,
+  offersOf,
+  type Outcome,
+  SHORT_SHUTDOWN,
+  sleep,
+  sumLedgers,
+  until,
+} from "./deployment.ts";
+
+/** What a scenario saw: the refusal, and the runs that the ledgers count. */
+type Seen = { readonly answer: Outcome; readonly runs: number };
+type Scenario = (fleet: Fleet) => Promise<Seen>;
+
+async function totalRuns(fleet: Fleet): Promise<number> {
+  let runs = 0;
+  for (const { address } of fleet.backends) {
+    const ledger = await fleet.ledger(address).catch(() => undefined);
+    for (const row of ledger?.runs ?? []) runs += row.count;
+  }
+  return runs;
+}
+
+/** Runs `send` and counts the runs that it caused. */
+async function seen(
+  fleet: Fleet,
+  send: (entry: RunningEntry) => Promise<Outcome>,
+): Promise<Seen> {
+  const before = await totalRuns(fleet);
+  const answer = await send(fleet.entries[0]);
+  return { answer, runs: await totalRuns(fleet) - before };
+}
+
+async function withBehaviour(
+  fleet: Fleet,
+  options: {
+    readonly part: Parameters<Fleet["behave"]>[1];
+    readonly undo: Parameters<Fleet["behave"]>[1];
+    readonly scenario: () => Promise<Seen>;
+  },
+): Promise<Seen> {
+  for (const { address } of fleet.backends) {
+    await fleet.behave(address, options.part);
+  }
+  const result = await options.scenario();
+  for (const { address } of fleet.backends) {
+    await fleet.behave(address, options.undo);
+  }
+  return result;
+}
+
+/** Starts another entry with settings of its own beside the shared fleet. */
+async function besides(
+  fleet: Fleet,
+  options: {
+    readonly settings: Parameters<Fleet["startEntry"]>[1];
+    readonly scenario: (entry: RunningEntry) => Promise<Seen>;
+  },
+): Promise<Seen> {
+  const entry = await fleet.startEntry("d", options.settings);
+  const result = await options.scenario(entry);
+  await entry.child.kill();
+  return result;
+}
+
+/** A peer that claims a hand-over to `entry` of which no part arrives. */
+async function claimHandOver(
+  entry: RunningEntry,
+  leaver: string,
+): Promise<MeshNode> {
+  const peer = new MeshNode({
+    incarnation: "ef".repeat(16),
+    listenHost: "127.0.0.1",
+    listenPort: 0,
+    silenceMilliseconds: 5_000,
+    connectTimeoutMilliseconds: 500,
+    onMessage: () => {},
+  });
+  await peer.listen();
+  peer.send(entry.meshAddress, {
+    kind: "heartbeat",
+    beats: [],
+    intentionsDigest: "",
+    handOvers: [{ leaver, successor: entry.incarnation }],
+  });
+  return peer;
+}
+
+/**
+ * One scenario for each reason. A new reason without a scenario does not
+ * compile.
+ */
+const SCENARIOS: Readonly<Record<RefusalReason, Scenario>> = {
+  "malformed-request": (fleet) =>
+    seen(fleet, (entry) =>
+      look(entry, "/desk/1", {
+        "Marigoldford-Deadline-Milliseconds": "soon",
+      })),
+  "keyed-malformed-request": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    return await seen(fleet, (entry) =>
+      act(entry, {
+        key,
+        headers: { "Marigoldford-Deadline-Milliseconds": "soon" },
+      }));
+  },
+  "no-service": (fleet) => seen(fleet, (entry) => look(entry, "/nowhere")),
+  "body-too-large": (fleet) =>
+    seen(fleet, (entry) => act(entry, { body: "x".repeat(1_100_000) })),
+  "keyed-body-too-large": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    const body = "x".repeat(1_100_000);
+    return await seen(fleet, (entry) => act(entry, { key, body }));
+  },
+  "key-missing": (fleet) => seen(fleet, (entry) => act(entry, {})),
+  "key-malformed": (fleet) =>
+    seen(fleet, (entry) => act(entry, { key: "mine" })),
+  "key-closed": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    const first = await act(fleet.entries[0], { key, deadlineMilliseconds: 0 });
+    expect(first.outcome).toBe("not-run");
+    return await seen(fleet, (entry) => act(entry, { key }));
+  },
+  "table-full": (fleet) =>
+    besides(fleet, {
+      settings: { protectedCalls: { maximumKeys: 1 } },
+      scenario: async (entry) => {
+        await act(entry, { key: await mint(entry) });
+        const key = await mint(entry);
+        return await seen(fleet, () => act(entry, { key }));
+      },
+    }),
+  "deadline-passed": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    return await seen(
+      fleet,
+      (entry) => act(entry, { key, deadlineMilliseconds: 0 }),
+    );
+  },
+  "queue-full": (fleet) =>
+    besides(fleet, {
+      settings: { calls: { queueLength: 1, inFlightPerSlot: 1 } },
+      scenario: async (entry) => {
+        const path = "/desk/slow?milliseconds=600";
+        const busy = Array.from(
+          { length: 5 },
+          () => act(entry, { path }).then(async () => {}),
+        );
+        const keys = await Promise.all(busy.map(() => mint(entry)));
+        const running = keys.map((key) => act(entry, { key, path }));
+        await sleep(150);
+        const key = await mint(entry);
+        const answer = await act(entry, { key, path });
+        const runs = await fleet.runsOf(key);
+        await Promise.all(running);
+        return { answer, runs };
+      },
+    }),
+  "no-backend-server": (fleet) =>
+    seen(fleet, (entry) => look(entry, "/empty/1")),
+  "quarantined": (fleet) =>
+    withBehaviour(fleet, {
+      part: { crashOn: "poison" },
+      undo: { crashOn: "" },
+      scenario: async () => {
+        await look(fleet.entries[0], "/desk/poison").catch(() => undefined);
+        await look(fleet.entries[0], "/desk/poison").catch(() => undefined);
+        return await seen(fleet, (entry) => look(entry, "/desk/poison"));
+      },
+    }),
+  "entry-leaving": (fleet) =>
+    besides(fleet, {
+      settings: {
+        ...SHORT_SHUTDOWN,
+        shutdown: { graceMilliseconds: 200 },
+      },
+      scenario: async (entry) => {
+        const key = await mint(entry);
+        const path = "/desk/slow?milliseconds=1500";
+        const running = act(entry, { key, path });
+        await sleep(100);
+        entry.child.signal("SIGTERM");
+        await sleep(600);
+        const result = await seen(fleet, () => look(entry, "/desk/1"));
+        expect((await running).outcome).toBe("answered");
+        return result;
+      },
+    }),
+  "entry-starting": (fleet) =>
+    besides(fleet, {
+      settings: { platform: { url: "http://127.0.0.1:9" } },
+      scenario: (entry) => seen(fleet, () => look(entry, "/desk/1")),
+    }),
+  "backend-server-refused": (fleet) =>
+    withBehaviour(fleet, {
+      part: { queueLength: 0 },
+      undo: { queueLength: 100 },
+      scenario: async () => {
+        const key = await mint(fleet.entries[0]);
+        return await seen(fleet, (entry) => act(entry, { key }));
+      },
+    }),
+  "connect-failed": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    return await seen(
+      fleet,
+      (entry) => act(entry, { key, path: "/gone/book" }),
+    );
+  },
+  "key-expired": (fleet) =>
+    besides(fleet, {
+      settings: { protectedCalls: { keyLifetimeMilliseconds: 300 } },
+      scenario: async (entry) => {
+        const key = await mint(entry);
+        await sleep(500);
+        return await seen(fleet, () => act(entry, { key }));
+      },
+    }),
+  "key-not-issued": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    const [owner, , unique] = key.split(".");
+    const forged = `${owner}.zzzzzzzz.${unique}`;
+    return await seen(fleet, (entry) => act(entry, { key: forged }));
+  },
+  "owner-unreachable": (fleet) =>
+    seen(fleet, (entry) => act(entry, { key: `${"ab".repeat(16)}.zz.lost` })),
+  "hand-over-incomplete": async (fleet) => {
+    const [entry] = fleet.entries;
+    const leaver = "cd".repeat(16);
+    const peer = await claimHandOver(entry, leaver);
+    let result: Seen | undefined;
+    await until(async () => {
+      result = await seen(fleet, () => act(entry, { key: `${leaver}.zz.one` }));
+      return result.answer.reason === "hand-over-incomplete";
+    });
+    await peer.close();
+    if (result === undefined) throw new Error("No answer was seen");
+    return result;
+  },
+  "content-mismatch": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    await act(fleet.entries[0], { key });
+    return await seen(fleet, (entry) => act(entry, { key, body: "other" }));
+  },
+  "answer-lost": (fleet) =>
+    withBehaviour(fleet, {
+      part: { losesAnswers: true },
+      undo: { losesAnswers: false },
+      scenario: async () => {
+        const key = await mint(fleet.entries[0]);
+        return await seen(fleet, (entry) => act(entry, { key }));
+      },
+    }),
+  "deadline-exceeded": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    return await seen(fleet, (entry) =>
+      act(entry, {
+        key,
+        path: "/desk/slow?milliseconds=800",
+        deadlineMilliseconds: 200,
+      }));
+  },
+  "answer-not-kept": async (fleet) => {
+    const key = await mint(fleet.entries[0]);
+    const path = "/desk/long?bytes=200000";
+    const first = await act(fleet.entries[0], { key, path });
+    expect(first.body.length).toBe(200_000);
+    return await seen(fleet, (entry) => act(entry, { key, path }));
+  },
+};
+
+describe("a refusal tells the truth", () => {
+  let fleet: Fleet;
+  const dead = new Relay();
+
+  beforeAll(async () => {
+    const deadAddress = await dead.listen();
+    dead.close();
+    fleet = await deploy({
+      entries: 1,
+      backends: 2,
+      backendsPerProcess: 1,
+      settings: { calls: { quarantineMilliseconds: 1_000 } },
+      extraLines: [
+        serviceRule("empty"),
+        serviceRule("gone"),
+        {
+          intention: "dead-server",
+          revision: 1,
+          kind: "backend-server",
+          service: "gone",
+          address: deadAddress,
+          failure_domain: "a",
+          slots: 1,
+          connections: 100,
+        },
+      ],
+    });
+  });
+  afterAll(() => fleet.stop());
+
+  for (const reason of Object.keys(SCENARIOS) as RefusalReason[]) {
+    test(reason, async () => {
+      const { answer, runs } = await SCENARIOS[reason](fleet);
+      const rule = REFUSAL_RULES[reason];
+      expect([answer.reason, answer.outcome]).toEqual([reason, rule.outcome]);
+      if (rule.outcome === "not-run") expect(runs).toBe(0);
+      await until(async () => (await offersOf(fleet.entries[0])).length > 0);
+    });
+  }
+
+  test("ledgers are alive at the end", async () => {
+    expect(await sumLedgers(fleet, "arrivals")).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/packages/proof/src/whole_answers_test.ts
@@ -0,0 +1,129 @@
+import { afterEach, describe, expect, test } from "vitest";
+import { request } from "node:http";
+import type { Fleet } from "@marigoldford/stand_ins/fleet";
+import { Relay } from "@marigoldford/stand_ins/relay";
+import { sendPlain } from "@marigoldford/stand_ins/http_json";
+import { serviceRule } from "@marigoldford/stand_ins/sheet_writer";
+import { deploy, look, sleep, sumLedgers, until } from "./deployment.ts";
+
+const LONG_BODY_BYTES = 100_000_000;
+const MEMORY_GROWTH_BYTES = 60_000_000;
+
+type MemoryView = { readonly entry: { readonly memoryBytes: number } };
+
+describe("each caller gets the whole answer to their own request", () => {
+  let fleet: Fleet;
+  afterEach(() => fleet.stop());
+
+  test("many callers at once, with cancellations between", async () => {
+    fleet = await deploy({ entries: 2, backends: 3 });
+    const calls = Array.from({ length: 300 }, async (_, index) => {
+      const entry = fleet.entries[index % 2];
+      const path = `/desk/${index}?milliseconds=${1 + index % 40}`;
+      if (index % 5 === 0) {
+        await sendPlain(entry.callAddress, { path, timeoutMilliseconds: 5 })
+          .catch(() => undefined);
+        return;
+      }
+      const answer = await look(entry, path, {
+        "Marigoldford-Deadline-Milliseconds": "10000",
+      });
+      expect(JSON.parse(answer.body).path).toBe(path);
+    });
+    await Promise.all(calls);
+  });
+
+  test("an answer cut short never looks whole", async () => {
+    fleet = await deploy({
+      entries: 1,
+      backends: 1,
+      behaviour: { cutsAnswers: true },
+    });
+    const cut = sendPlain(fleet.entries[0].callAddress, { path: "/desk/1" });
+    await expect(cut).rejects.toThrow();
+  });
+
+  test("a body larger than any buffer passes in bounded memory", async () => {
+    fleet = await deploy({ entries: 1, backends: 1 });
+    const [entry] = fleet.entries;
+    await look(entry, "/desk/warm");
+    const before = await fleet.status<MemoryView>(entry);
+    const bytes = await readSlowly(entry.callAddress, LONG_BODY_BYTES);
+    const after = await fleet.status<MemoryView>(entry);
+    expect(bytes).toBe(LONG_BODY_BYTES);
+    const growth = after.entry.memoryBytes - before.entry.memoryBytes;
+    expect(growth).toBeLessThan(MEMORY_GROWTH_BYTES);
+  });
+
+  test("a connection to a backend server goes silent for good", async () => {
+    const relay = new Relay();
+    const address = await relay.listen();
+    fleet = await deploy({
+      entries: 1,
+      backends: 2,
+      extraLines: [
+        serviceRule("two"),
+        {
+          intention: "relayed",
+          revision: 1,
+          kind: "backend-server",
+          service: "desk",
+          address,
+          failure_domain: "c",
+          slots: 2,
+          connections: 250,
+        },
+      ],
+    });
+    relay.setTarget(fleet.backends[0].address);
+    const [entry] = fleet.entries;
+    for (let call = 0; call < 30; call++) await look(entry, `/desk/${call}`);
+    relay.setMode("silent");
+    relay.setMode("pass");
+    let answered = 0;
+    for (let call = 0; call < 30; call++) {
+      const answer = await look(entry, `/desk/silent/${call}`);
+      if (answer.outcome === "answered") answered += 1;
+    }
+    expect(answered).toBe(30);
+    relay.close();
+  });
+
+  test("a caller that goes away cancels its repeatable call", async () => {
+    fleet = await deploy({ entries: 1, backends: 1 });
+    const [entry] = fleet.entries;
+    const busy = [1, 2].map((call) =>
+      look(entry, `/desk/busy/${call}?milliseconds=400`)
+    );
+    await sleep(50);
+    const gone = Array.from(
+      { length: 2 },
+      (_, call) =>
+        sendPlain(entry.callAddress, {
+          path: `/desk/gone/${call}`,
+          timeoutMilliseconds: 100,
+        }).catch(() => undefined),
+    );
+    await Promise.all([...busy, ...gone]);
+    await until(async () => await sumLedgers(fleet, "cancelled") > 0);
+  });
+});
+
+/** Reads a long answer with pauses, as a slow caller does. */
+function readSlowly(address: string, bytes: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const sent = request(`http://${address}/desk/long?bytes=${bytes}`, {
+      agent: false,
+      headers: { "Marigoldford-Deadline-Milliseconds": "30000" },
+    }, (response) => {
+      let received = 0;
+      response.pause();
+      setTimeout(() => response.resume(), 1_000);
+      response.on("data", (chunk) => received += chunk.length);
+      response.once("error", reject);
+      response.once("end", () => resolve(received));
+    });
+    sent.once("error", reject);
+    sent.end();
+  });
+}
--- a/packages/stand_ins/src/fleet.ts
+++ b/packages/stand_ins/src/fleet.ts
@@ -3,12 +3,11 @@
  * a process of its own. The demo, the failure tests and the benchmarks start
  * their processes through it.
  */
-import { writeFileSync } from "node:fs";
-import { mkdtempSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import type { BackendBehaviour, Ledger } from "./backend_stand_in.ts";
+import type { BackendBehaviour, Ledger } from "./backend_behaviour.ts";
 import { Child } from "./child.ts";
 import { postJson, readJson } from "./http_json.ts";
 import type { PlatformCommand } from "./platform_stand_in.ts";
@@ -29,6 +28,7 @@
   readonly child: Child;
   readonly callAddress: string;
   readonly meshAddress: string;
+  readonly meshListenAddress: string;
   readonly incarnation: string;
   readonly failureDomain: string;
 };
@@ -99,6 +99,7 @@
       failureDomain,
       callAddress: String(line.callAddress),
       meshAddress: String(line.meshAddress),
+      meshListenAddress: String(line.meshListenAddress),
       incarnation: String(line.incarnation),
     };
     this.entries.push(entry);
