--- /dev/null
+++ b/packages/load/src/cell.ts
@@ -0,0 +1,193 @@
+/**
+ * One cell of the benchmark: one policy in one scene with one seed, with
+ * processes of its own.
+ */
+import { Fleet, type SettingsOverride } from "@marigoldford/stand_ins/fleet";
+import { sendPlain } from "@marigoldford/stand_ins/http_json";
+import {
+  deploymentLines,
+  writeSheet,
+} from "@marigoldford/stand_ins/sheet_writer";
+import { type LoadResult, OpenLoop } from "./open_loop.ts";
+import { type Scene, type SceneName, SCENES } from "./scenes.ts";
+import { type User, USER_SIZES, type UserSize } from "./scenes.ts";
+
+export const CONTENDERS = [
+  "oracle",
+  "ours",
+  "ours-without-hedges",
+  "two-choices",
+  "least-in-flight",
+  "round-robin",
+  "random",
+] as const;
+export type Contender = typeof CONTENDERS[number];
+
+export type CellOptions = {
+  readonly user: User;
+  readonly scene: SceneName;
+  readonly contender: Contender;
+  readonly seed: number;
+  readonly seconds: number;
+};
+
+export type CellResult = CellOptions & LoadResult & {
+  readonly sentToCalled: number;
+  readonly retries: number;
+  readonly hedges: number;
+  readonly healthPolls: number;
+  /** Share of slot time that health polls took, at 1 ms each. */
+  readonly pollSlotShare: number;
+};
+
+const WARM_UP_SECONDS = 2;
+const DEADLINE_MILLISECONDS = 10_000;
+const POLL_COST_MILLISECONDS = 1;
+const MILLISECONDS_PER_SECOND = 1_000;
+const FAILURE_DOMAINS = 4;
+const UNBOUNDED = 1_000_000;
+
+/** The oracle is one entry that sees every call; baselines never hedge. */
+function settingsOf(contender: Contender): SettingsOverride {
+  const isOurs = contender === "ours" || contender === "ours-without-hedges";
+  const policy = isOurs
+    ? "aged-reports"
+    : contender === "oracle"
+    ? "least-in-flight"
+    : contender;
+  const calls: Record<string, unknown> = { queueLength: 10_000 };
+  if (contender !== "ours") calls.hedgeShare = 0;
+  if (contender === "oracle") {
+    calls.inFlightPerSlot = UNBOUNDED;
+    calls.entriesCeiling = 1;
+  }
+  return { choosing: { policy }, calls };
+}
+
+/** Starts the processes, sends the load, and stops them again. */
+export async function runCell(options: CellOptions): Promise<CellResult> {
+  const size = USER_SIZES[options.user];
+  const scene = SCENES[options.scene];
+  const fleet = new Fleet();
+  try {
+    await startFleet(fleet, { ...options, size });
+    const load = new OpenLoop({
+      addresses: fleet.entries.map(({ callAddress }) => callAddress),
+      path: `/${size.service}`,
+      callsPerSecond: rateOf(size, scene),
+      seconds: options.seconds,
+      warmUpSeconds: WARM_UP_SECONDS,
+      deadlineMilliseconds: DEADLINE_MILLISECONDS,
+      seed: options.seed,
+    });
+    const change = changeLater(fleet, { scene, size });
+    const result = await load.run();
+    await change;
+    return { ...options, ...result, ...await readCosts(fleet, size) };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function rateOf(size: UserSize, scene: Scene): number {
+  const slots = size.targets * size.slots;
+  const full = slots * MILLISECONDS_PER_SECOND / size.serviceMilliseconds;
+  return full * scene.load * scene.capacity(size.targets);
+}
+
+async function startFleet(
+  fleet: Fleet,
+  options: CellOptions & { readonly size: UserSize },
+): Promise<void> {
+  const { size, contender } = options;
+  const scene = SCENES[options.scene];
+  const perDomain = Math.ceil(size.targets / FAILURE_DOMAINS);
+  await fleet.startPlatform();
+  await fleet.startBackends(
+    Array.from({ length: size.targets }, (_, index) => ({
+      service: size.service,
+      failureDomain: `domain-${Math.floor(index / perDomain)}`,
+      connections: contender === "oracle" ? UNBOUNDED : size.connections,
+      behaviour: {
+        slots: size.slots,
+        queueLength: UNBOUNDED,
+        serviceMilliseconds: size.serviceMilliseconds,
+        distribution: "exponential",
+        ...scene.behaviour(index, size.targets),
+      },
+    })),
+    perDomain,
+  );
+  await fleet.publish(writeSheet(deploymentLines(fleet.backends)));
+  const entries = contender === "oracle" ? 1 : size.entries;
+  const starting = Array.from(
+    { length: entries },
+    (_, index) =>
+      fleet.startEntry(
+        `domain-${index % FAILURE_DOMAINS}`,
+        settingsOf(contender),
+      ),
+  );
+  await Promise.all(starting);
+}
+
+async function changeLater(
+  fleet: Fleet,
+  context: { readonly scene: Scene; readonly size: UserSize },
+): Promise<void> {
+  const { change } = context.scene;
+  if (change === undefined) return;
+  await pause(WARM_UP_SECONDS * MILLISECONDS_PER_SECOND);
+  const { targets } = context.size;
+  const affected = fleet.backends.filter((_, index) =>
+    change.applies(index, targets)
+  );
+  if (change.part === "kill") {
+    for (const child of new Set(affected.map(({ child }) => child))) {
+      await child.kill();
+    }
+    return;
+  }
+  for (const { address } of affected) {
+    await fleet.behave(address, change.part);
+  }
+  if (change.undoAfterMilliseconds === undefined) return;
+  await pause(change.undoAfterMilliseconds);
+  for (const { address } of affected) {
+    await fleet.behave(address, { slowdown: 1 });
+  }
+}
+
+async function readCosts(fleet: Fleet, size: UserSize) {
+  const sums = { calls: 0, attempts: 0, retries: 0, hedges: 0, polls: 0 };
+  for (const { callAddress } of fleet.entries) {
+    const { body } = await sendPlain(callAddress, {
+      path: "/marigoldford/metrics",
+    });
+    sums.calls += readCounter(body, "calls");
+    sums.attempts += readCounter(body, "attempts");
+    sums.retries += readCounter(body, "retries");
+    sums.hedges += readCounter(body, "hedges");
+    sums.polls += readCounter(body, "health_polls");
+  }
+  const calls = Math.max(1, sums.calls);
+  const slots = size.targets * size.slots;
+  const seconds = performance.now() / MILLISECONDS_PER_SECOND;
+  return {
+    sentToCalled: sums.attempts / calls,
+    retries: sums.retries / calls,
+    hedges: sums.hedges / calls,
+    healthPolls: sums.polls / calls,
+    pollSlotShare: sums.polls * POLL_COST_MILLISECONDS /
+      (slots * seconds * MILLISECONDS_PER_SECOND),
+  };
+}
+
+function readCounter(text: string, name: string): number {
+  const match = new RegExp(`marigoldford_${name}_total (\\d+)`).exec(text);
+  return Number(match?.[1] ?? 0);
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/load/src/cell_process.ts
@@ -0,0 +1,9 @@
+/**
+ * Runs one benchmark cell in a process of its own and prints its result.
+ */
+import process from "node:process";
+import { type CellOptions, runCell } from "./cell.ts";
+
+const options = JSON.parse(process.argv[2]) as CellOptions;
+const result = await runCell(options);
+process.stdout.write(JSON.stringify(result) + "\n");
--- a/packages/stand_ins/src/backend_behaviour.ts
+++ b/packages/stand_ins/src/backend_behaviour.ts
@@ -35,6 +35,10 @@
   cutsAnswers: boolean;
   coldMilliseconds: number;
   coldFactor: number;
+  /** Noisy neighbours: every period, with this chance, this much slower. */
+  noisePeriodMilliseconds: number;
+  noiseShare: number;
+  noiseFactor: number;
 };
 
 export const DEFAULT_BEHAVIOUR: BackendBehaviour = {
@@ -56,6 +60,9 @@
   cutsAnswers: false,
   coldMilliseconds: 0,
   coldFactor: 1,
+  noisePeriodMilliseconds: 0,
+  noiseShare: 0,
+  noiseFactor: 1,
 };
 
 /** One run of a call, as the ledger counts it. */
--- a/packages/stand_ins/src/backend_stand_in.ts
+++ b/packages/stand_ins/src/backend_stand_in.ts
@@ -39,6 +39,8 @@
   #crashes = 0;
   #healthPolls = 0;
   #lastArrival = 0;
+  #noiseUntil = 0;
+  #isNoisy = false;
   #address = "";
 
   constructor(behaviour: BackendBehaviour) {
@@ -165,7 +167,20 @@
       : -Math.log(1 - Math.random()) * base;
     const age = performance.now() - this.#startedAt;
     const cold = age < behaviour.coldMilliseconds ? behaviour.coldFactor : 1;
-    return drawn * behaviour.slowdown * cold;
+    return drawn * behaviour.slowdown * cold * this.#noise();
+  }
+
+  /** The factor of the period in which a call begins. */
+  #noise(): number {
+    const { noisePeriodMilliseconds, noiseShare, noiseFactor } =
+      this.#behaviour;
+    if (noisePeriodMilliseconds === 0) return 1;
+    const now = performance.now();
+    if (now >= this.#noiseUntil) {
+      this.#noiseUntil = now + noisePeriodMilliseconds;
+      this.#isNoisy = Math.random() < noiseShare;
+    }
+    return this.#isNoisy ? noiseFactor : 1;
   }
 
   #answer(request: IncomingMessage, response: ServerResponse): void {
