--- /dev/null
+++ b/packages/command/src/command_line_test.ts
@@ -0,0 +1,99 @@
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { afterAll, describe, expect, test } from "vitest";
+
+const MAIN = fileURLToPath(new URL("../dist/main.js", import.meta.url));
+const EXAMPLES = fileURLToPath(new URL("../../../examples", import.meta.url));
+const FOLDER = mkdtempSync(join(tmpdir(), "marigoldford-"));
+
+type Ran = { readonly code: number; readonly out: string; error: string };
+
+function run(...commandArguments: readonly string[]): Promise<Ran> {
+  return new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      [MAIN, ...commandArguments],
+      (error, out, err) =>
+        resolve({ code: Number(error?.code ?? 0), out, error: err }),
+    );
+  });
+}
+
+function file(name: string, text: string): string {
+  const path = join(FOLDER, name);
+  writeFileSync(path, text);
+  return path;
+}
+
+describe("the command line", () => {
+  afterAll(() => rmSync(FOLDER, { recursive: true }));
+
+  test("help has examples", async () => {
+    const { code, out } = await run("call", "--help");
+    expect(code).toBe(0);
+    expect(out).toContain("marigoldford call /gatecheck");
+  });
+
+  test("a wrong flag, a missing flag and an unknown command are usage", async () => {
+    for (
+      const given of [["status", "--entyr", "x"], ["status"], ["frobnicate"]]
+    ) {
+      const { code, error } = await run(...given);
+      expect(code).toBe(2);
+      expect(error).toContain("see marigoldford --help");
+    }
+  });
+
+  test("a missing file and an unreachable entry exit with 3", async () => {
+    expect((await run("settings", "check", "nowhere.json")).code).toBe(3);
+    const { code, error } = await run("status", "--entry", "127.0.0.1:9");
+    expect(code).toBe(3);
+    expect(error).toContain("127.0.0.1:9 does not answer");
+  });
+
+  test("a daemon never starts on faulty settings", async () => {
+    const path = file("bad.json", '{"instance":{"callAdress":"x"}}');
+    const { code, error } = await run("entry", "--settings", path);
+    expect(code).toBe(1);
+    expect(error).toContain("instance.callAdress");
+    expect(error).toContain("instance.callAddress");
+  });
+
+  test("the examples of both users are good", async () => {
+    for (const user of ["suelas", "wickramasinghe"]) {
+      const settings = join(EXAMPLES, user, "entry.json");
+      expect((await run("settings", "check", settings)).code).toBe(0);
+      const sheet = join(EXAMPLES, user, "sheet.csv");
+      expect((await run("sheet", "check", sheet)).code).toBe(0);
+    }
+  });
+
+  test("diff names rows that would be refused and exits with 1", async () => {
+    const head = "intention,revision,kind,address\n";
+    const current = file("now.csv", head + "fix,2,retiring,127.0.0.1:1\n");
+    const next = file("next.csv", head + "fix,1,retiring,127.0.0.1:2\n");
+    const { code, out } = await run("sheet", "diff", current, next);
+    expect(code).toBe(1);
+    expect(out).toContain("refused: fix revision 1 on line 2");
+    const json = await run("sheet", "diff", current, next, "--json");
+    expect(JSON.parse(json.out).isOk).toBe(false);
+  });
+
+  test("explain says where a call goes", async () => {
+    const sheet = join(EXAMPLES, "suelas", "sheet.csv");
+    const { code, out } = await run(
+      "sheet",
+      "explain",
+      sheet,
+      "/caja/booking",
+      "--method",
+      "POST",
+    );
+    expect(code).toBe(0);
+    expect(out).toContain("service caja, protected");
+  });
+});
--- a/packages/entry/src/health_poller.ts
+++ b/packages/entry/src/health_poller.ts
@@ -54,12 +54,14 @@
   /** Polls a second that this entry may make at the most. */
   pollsPerSecondAllowed(): number {
     const { settings, entriesCeiling, pools } = this.#options;
-    let slots = 0;
+    let slotsForPolls = 0;
     for (const pool of pools.all()) {
-      for (const server of pool.servers) slots += server.intention.slots;
+      const share = pool.budgetShare("probe-slot-share") ?? settings.slotShare;
+      for (const server of pool.servers) {
+        slotsForPolls += share * server.intention.slots;
+      }
     }
-    const slotMilliseconds = slots * MILLISECONDS_PER_SECOND;
-    const fleet = settings.slotShare * slotMilliseconds /
+    const fleet = slotsForPolls * MILLISECONDS_PER_SECOND /
       settings.costMilliseconds;
     return fleet / entriesCeiling;
   }
--- a/packages/kernel/src/service_pool.ts
+++ b/packages/kernel/src/service_pool.ts
@@ -5,6 +5,7 @@
 import { BackendServerState } from "./backend_server_state.ts";
 import { type CandidateSelection, selectCandidates } from "./candidates.ts";
 import type { Choice, ChoosingPolicy } from "./choosing_policy.ts";
+import type { BudgetName } from "./intention.ts";
 import type { NotRunReason } from "./refusal.ts";
 import type { ServiceIntentions } from "./routing_table.ts";
 import { serviceLatency } from "./straggler.ts";
@@ -93,16 +94,25 @@
   update(intentions: ServiceIntentions): void {
     const previous = this.#intentions;
     this.#intentions = intentions;
-    if (previous.budgets.get("retry-share") !== this.#share("retry-share")) {
+    if (
+      previous.budgets.get("retry-share") !== this.budgetShare("retry-share")
+    ) {
       this.#retryBudget = this.#makeBudget("retry-share");
     }
-    if (previous.budgets.get("hedge-share") !== this.#share("hedge-share")) {
+    if (
+      previous.budgets.get("hedge-share") !== this.budgetShare("hedge-share")
+    ) {
       this.#hedgeBudget = this.#makeBudget("hedge-share");
     }
     this.#syncStates();
     this.queue.wakeAll();
   }
 
+  /** A budget that the sheet sets for this service. */
+  budgetShare(name: BudgetName): number | undefined {
+    return this.#intentions.budgets.get(name);
+  }
+
   /** Counts a call, which earns its share of the budgets. */
   noteCall(): void {
     this.#retryBudget.earn();
@@ -206,14 +216,10 @@
     this.#states.set(state.address, state);
   }
 
-  #share(name: "retry-share" | "hedge-share"): number | undefined {
-    return this.#intentions.budgets.get(name);
-  }
-
   #makeBudget(name: "retry-share" | "hedge-share"): TokenBudget {
     const { retryShare, hedgeShare } = this.#options.defaults;
     const usual = name === "retry-share" ? retryShare : hedgeShare;
-    const share = this.#share(name) ?? usual;
+    const share = this.budgetShare(name) ?? usual;
     return new TokenBudget({ share, mostTokens: MOST_BUDGET_TOKENS });
   }
 }
--- a/packages/load/src/bench_targets.ts
+++ b/packages/load/src/bench_targets.ts
@@ -64,6 +64,11 @@
   const floor = oracle.p99Milliseconds;
   const best = Math.min(...baselines.map((row) => row.p99Milliseconds));
   const worst = Math.max(...baselines.map((row) => row.p99Milliseconds));
+  if (floor > best * NEAR_ORACLE) {
+    const text = `${name}: the oracle is slower than a baseline, so the run ` +
+      "was short of processor time and says nothing";
+    return [{ isMet: false, text }];
+  }
   if (worst <= floor * NEAR_ORACLE) {
     const isMet = ours.p99Milliseconds <= worst;
     return [{ isMet, text: `${name}: p99 no worse than near-oracle policies` }];
--- a/packages/load/src/cell.ts
+++ b/packages/load/src/cell.ts
@@ -40,7 +40,7 @@
   readonly pollSlotShare: number;
 };
 
-const WARM_UP_SECONDS = 2;
+const WARM_UP_SECONDS = 4;
 const DEADLINE_MILLISECONDS = 10_000;
 const POLL_COST_MILLISECONDS = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/packages/load/src/scenes.ts
+++ b/packages/load/src/scenes.ts
@@ -16,8 +16,9 @@
 };
 
 /**
- * Wickramasinghe's service time is four times that of the trials in the
- * starting design, so that one machine carries the calls of 90 slots.
+ * The service times are longer than those of the trials in the starting
+ * design (20 and 8 ms). With 15 entry processes on a few cores, shorter ones
+ * measure the machine's queue for processors and not the policy.
  */
 export const USER_SIZES: Readonly<Record<User, UserSize>> = {
   suelas: {
@@ -26,7 +27,7 @@
     slots: 2,
     entries: 15,
     connections: 250,
-    serviceMilliseconds: 20,
+    serviceMilliseconds: 60,
   },
   wickramasinghe: {
     service: "gatecheck",
@@ -34,7 +35,7 @@
     slots: 6,
     entries: 15,
     connections: 200,
-    serviceMilliseconds: 32,
+    serviceMilliseconds: 120,
   },
 };
 
@@ -107,7 +108,7 @@
     change: {
       applies: (index) => index % 3 === 0,
       part: { slowdown: COLD_FACTOR },
-      undoAfterMilliseconds: 3_000,
+      undoAfterMilliseconds: 4_000,
     },
   },
   "late-reports": {
--- /dev/null
+++ b/packages/proof/src/bad_input_test.ts
@@ -0,0 +1,126 @@
+import { connect } from "node:net";
+import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import type { Fleet } from "@marigoldford/stand_ins/fleet";
+import { act, deploy, look, mint, sleep } from "./deployment.ts";
+
+/** Sends raw bytes and reads until the other side closes, or a bound. */
+function sendRaw(
+  address: string,
+  options: { readonly bytes: Uint8Array | string; readonly wait: number },
+): Promise<string> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host);
+    let text = "";
+    const finish = () => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(text);
+    };
+    const timer = setTimeout(finish, options.wait);
+    socket.on("data", (chunk) => text += chunk.toString("latin1"));
+    socket.on("error", finish);
+    socket.on("close", finish);
+    socket.write(options.bytes);
+  });
+}
+
+function frame(payload: Uint8Array): Uint8Array {
+  const bytes = new Uint8Array(4 + payload.byteLength);
+  new DataView(bytes.buffer).setUint32(0, payload.byteLength);
+  bytes.set(payload, 4);
+  return bytes;
+}
+
+describe("bad input", () => {
+  let fleet: Fleet;
+  let neighbour: ReturnType<typeof setInterval>;
+  const neighbourFailures: string[] = [];
+
+  beforeAll(async () => {
+    fleet = await deploy({
+      entries: 2,
+      backends: 2,
+      settings: { calls: { headerTimeoutMilliseconds: 500 } },
+    });
+    let call = 0;
+    neighbour = setInterval(() => {
+      call += 1;
+      look(fleet.entries[0], `/desk/${call}`).then(
+        ({ outcome }) => {
+          if (outcome !== "answered") neighbourFailures.push(outcome);
+        },
+        (error: Error) => neighbourFailures.push(error.message),
+      );
+    }, 50);
+  });
+  afterAll(() => fleet.stop());
+
+  test("broken HTTP is answered with 400", async () => {
+    const text = await sendRaw(fleet.entries[0].callAddress, {
+      bytes: "NOT HTTP AT ALL\r\n\r\n",
+      wait: 2_000,
+    });
+    expect(text).toContain("HTTP/1.1 400");
+  });
+
+  test("huge headers are answered with 431", async () => {
+    const text = await sendRaw(fleet.entries[0].callAddress, {
+      bytes: `GET /desk/1 HTTP/1.1\r\nX: ${"x".repeat(70_000)}\r\n\r\n`,
+      wait: 2_000,
+    });
+    expect(text).toContain("HTTP/1.1 431");
+  });
+
+  test("a slow sender is answered with 408 and hung up on", async () => {
+    const text = await sendRaw(fleet.entries[0].callAddress, {
+      bytes: "GET /desk/1 HTTP/1.1\r\nHost:",
+      wait: 6_000,
+    });
+    expect(text).toContain("HTTP/1.1 408");
+  });
+
+  test("a body without an end is cut at the bound", async () => {
+    const key = await mint(fleet.entries[0]);
+    const answer = await act(fleet.entries[0], {
+      key,
+      body: "x".repeat(1_048_577),
+    });
+    expect(answer.status).toBe(413);
+  });
+
+  test("malformed frames on the mesh port close the connection", async () => {
+    const { meshAddress } = fleet.entries[0];
+    const payloads = [
+      new Uint8Array([0xff, 0xff, 0xff, 0xff, 1]),
+      frame(new Uint8Array([0xff, 1, 2, 3])),
+      frame(new TextEncoder().encode("GET / HTTP/1.1\r\n\r\n")),
+      frame(new Uint8Array(0)),
+    ];
+    for (const bytes of payloads) {
+      const startedAt = performance.now();
+      await sendRaw(meshAddress, { bytes, wait: 4_000 });
+      expect(performance.now() - startedAt).toBeLessThan(4_000);
+    }
+  });
+
+  test("a mesh peer that sends nothing is hung up on", async () => {
+    const { meshAddress } = fleet.entries[0];
+    const startedAt = performance.now();
+    await sendRaw(meshAddress, { bytes: new Uint8Array([0]), wait: 9_000 });
+    expect(performance.now() - startedAt).toBeLessThan(9_000);
+  });
+
+  test("a value that is no sheet at all changes nothing", async () => {
+    await fleet.publish('"never closed,1,\n', "sheet/broken");
+    await sleep(300);
+    const answer = await look(fleet.entries[0], "/desk/after");
+    expect(answer.outcome).toBe("answered");
+  });
+
+  test("the other callers' calls went unharmed", async () => {
+    clearInterval(neighbour);
+    await sleep(200);
+    expect(neighbourFailures).toEqual([]);
+  });
+});
