--- a/packages/load/src/bench_targets.ts
+++ b/packages/load/src/bench_targets.ts
@@ -64,9 +64,9 @@
   const floor = oracle.p99Milliseconds;
   const best = Math.min(...baselines.map((row) => row.p99Milliseconds));
   const worst = Math.max(...baselines.map((row) => row.p99Milliseconds));
-  if (floor > best * NEAR_ORACLE) {
-    const text = `${name}: the oracle is slower than a baseline, so the run ` +
-      "was short of processor time and says nothing";
+  if (isShortOfProcessorTime(scene)) {
+    const text = `${name}: the oracle's median is above a baseline's, so the ` +
+      "run was short of processor time and says nothing";
     return [{ isMet: false, text }];
   }
   if (worst <= floor * NEAR_ORACLE) {
@@ -86,6 +86,15 @@
   ];
 }
 
+/**
+ * The one entry of the oracle is the first to lack processor time, which shows
+ * in its median. Its tail may rightly lose where backend servers differ.
+ */
+function isShortOfProcessorTime({ oracle, baselines }: SceneRows): boolean {
+  const best = Math.min(...baselines.map((row) => row.p50Milliseconds));
+  return oracle.p50Milliseconds > best * NEAR_ORACLE;
+}
+
 function judgeStraggler({ name, ours, twoChoices }: SceneRows): Verdict {
   return ratio(`${name}: p99.9 to two choices'`, {
     value: ours.p999Milliseconds / twoChoices.p999Milliseconds,
