Let other entries take over from killed watchers; add the load command

Cause: an entry that does not watch slept 30 s between turns and asked only then whether it had become a watcher. With both watchers of a failure domain killed a change could wait that long where no other domain brings it. Seen first: npx vitest run packages/proof/src/intentions -t 'take over' failed ('Not true within 3000 ms'); an earlier form of the test passed by chance, because entries begin as watchers for up to 10 s, so it now waits that out. Change: the role is asked every second; a platform that answers a watch at once without news is not asked again at once. After: the test passes.

--- a/packages/command/src/command_line.ts
+++ b/packages/command/src/command_line.ts
@@ -16,6 +16,13 @@
   readonly key?: string;
   readonly deadlineMilliseconds?: number;
 };
+type LoadFlags = CommonFlags & {
+  readonly entry?: string | string[];
+  readonly callsPerSecond: number;
+  readonly seconds: number;
+  readonly deadlineMilliseconds: number;
+  readonly seed: number;
+};
 type StatusFlags = CommonFlags & { readonly entry?: string };
 type ExplainFlags = CommonFlags & {
   readonly method?: string;
@@ -58,6 +65,7 @@
   defineSheetCommands(program, run);
   defineCallCommand(program, run);
   defineStatusCommand(program, run);
+  defineLoadCommand(program, run);
 }
 
 function missingFlag(flag: string, flags: CommonFlags): Promise<ExitCode> {
@@ -187,3 +195,35 @@
       );
     });
 }
+
+function defineLoadCommand(program: CAC, run: Run): void {
+  program.command("load <path>", "Send open-loop load and print latencies")
+    .option("--entry <address>", "Address of an entry; may be repeated")
+    .option("--calls-per-second <number>", "Mean rate", { default: 100 })
+    .option("--seconds <number>", "How long", { default: 10 })
+    .option("--deadline-milliseconds <number>", "Time for a call", {
+      default: 2_000,
+    })
+    .option("--seed <number>", "Seed of the arrivals", { default: 1 })
+    .option("--json", "Print JSON")
+    .example(
+      "marigoldford load /gatecheck/helmet --entry 127.0.0.1:8080 --seconds 5",
+    )
+    .action((path: string, flags: LoadFlags) => {
+      if (flags.entry === undefined) return run(missingFlag("--entry", flags));
+      const addresses = [flags.entry].flat();
+      run(
+        import("./load_command.ts").then(({ runLoad }) =>
+          runLoad({
+            addresses,
+            path,
+            callsPerSecond: Number(flags.callsPerSecond),
+            seconds: Number(flags.seconds),
+            warmUpSeconds: 0,
+            deadlineMilliseconds: Number(flags.deadlineMilliseconds),
+            seed: Number(flags.seed),
+          }, makeOutput(flags.json === true))
+        ),
+      );
+    });
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -68,7 +68,7 @@
 const HOUSEKEEPING_MILLISECONDS = 500;
 const MAXIMUM_SUSPECTS = 10_000;
 const MAXIMUM_ADOPTED_RECORDS = 200_000;
-const PAUSE_CHECK_MILLISECONDS = 100;
+const PAUSE_CHECK_MILLISECONDS = 500;
 const LAST_BEAT_MILLISECONDS = 50;
 const LOG = new Logger("entry");
 
@@ -206,6 +206,7 @@
       directory: this.#directory,
       incarnation: this.#incarnation,
       failureDomain: options.instance.failureDomain,
+      clock,
       onValues: (values) => this.#intentions.takeValues(values),
       onInstances: (instances) => this.#takeInstances(instances),
     });
--- a/packages/entry/src/platform_watcher.ts
+++ b/packages/entry/src/platform_watcher.ts
@@ -7,7 +7,11 @@
  */
 import { rankMembers } from "@marigoldford/kernel/rendezvous";
 import type { EntryDirectory } from "@marigoldford/kernel/entry_directory";
-import type { FailureDomain, Incarnation } from "@marigoldford/kernel/types";
+import type {
+  Clock,
+  FailureDomain,
+  Incarnation,
+} from "@marigoldford/kernel/types";
 import { Logger } from "@marigoldford/logger/logger";
 import type {
   PlatformClient,
@@ -22,16 +26,19 @@
   readonly directory: EntryDirectory;
   readonly incarnation: Incarnation;
   readonly failureDomain: FailureDomain;
+  readonly clock: Clock;
   readonly onValues: (values: PlatformValues) => void;
   readonly onInstances: (instances: readonly PlatformInstance[]) => void;
 };
 
+const ROLE_CHECK_MILLISECONDS = 1_000;
 const LOG = new Logger("platform");
 
 export class PlatformWatcher {
   readonly #options: PlatformWatcherOptions;
   #newestVersion = 0;
   #lastReadOk = false;
+  #nextReadAt = 0;
 
   constructor(options: PlatformWatcherOptions) {
     this.#options = options;
@@ -57,13 +64,36 @@
     return watchers.includes(incarnation);
   }
 
-  /** One turn: a watch, or a plain read; returns the pause after it. */
+  /**
+   * One turn: a watch, or a plain read when one is due; returns the pause
+   * after it. Whether this entry watches is asked anew every turn, because
+   * the watchers of its failure domain may all have died.
+   */
   async turn(): Promise<number> {
-    const { settings } = this.#options;
-    const isWatcher = this.isWatcher;
-    const isOk = await this.#read(isWatcher);
-    if (!isOk) return settings.retryDelayMilliseconds;
-    return isWatcher ? 0 : settings.fallbackReadIntervalMilliseconds;
+    return this.isWatcher ? await this.#watchTurn() : await this.#idleTurn();
+  }
+
+  /** A platform that answers a watch at once without news is not hurried. */
+  async #watchTurn(): Promise<number> {
+    const { clock, settings } = this.#options;
+    const versionBefore = this.#newestVersion;
+    const startedAt = clock();
+    const isOk = await this.#read(true);
+    const hasNews = this.#newestVersion > versionBefore;
+    const took = clock() - startedAt;
+    const isUseless = !hasNews && took < settings.watchWaitMilliseconds / 2;
+    return isOk && !isUseless ? 0 : settings.retryDelayMilliseconds;
+  }
+
+  async #idleTurn(): Promise<number> {
+    const { clock, settings } = this.#options;
+    if (clock() < this.#nextReadAt) return ROLE_CHECK_MILLISECONDS;
+    const isOk = await this.#read(false);
+    const pause = isOk
+      ? settings.fallbackReadIntervalMilliseconds
+      : settings.retryDelayMilliseconds;
+    this.#nextReadAt = clock() + pause;
+    return Math.min(pause, ROLE_CHECK_MILLISECONDS);
   }
 
   /** Reads all values once, without waiting for news. */
--- a/packages/kernel/src/adopted_tables.ts
+++ b/packages/kernel/src/adopted_tables.ts
@@ -71,7 +71,8 @@
    * whether the part may be acknowledged: false when there is no room.
    */
   accept(part: HandOverPart): boolean {
-    if (this.#recordCount() + part.records.length > this.#maximum()) {
+    const { maximumRecords } = this.#options;
+    if (this.#recordCount() + part.records.length > maximumRecords) {
       return false;
     }
     const table = this.#tableOf(part);
@@ -161,10 +162,6 @@
     for (const table of this.#tables.values()) count += table.records.size;
     return count;
   }
-
-  #maximum(): number {
-    return this.#options.maximumRecords;
-  }
 }
 
 /** A run that was still going when its owner left has an unknown outcome. */
--- a/packages/kernel/src/entry_directory.ts
+++ b/packages/kernel/src/entry_directory.ts
@@ -99,14 +99,6 @@
     );
   }
 
-  /** Incarnations that were heard of but have not described themselves. */
-  withoutRecord(): Incarnation[] {
-    const known = [...this.#beats.keys()];
-    return known.filter((incarnation) =>
-      this.isAlive(incarnation) && !this.#records.has(incarnation)
-    );
-  }
-
   /** The last beat of every entry, with its age. */
   beats(): Beat[] {
     return [...this.#beats].map(([incarnation, beat]) => ({
--- a/packages/kernel/src/protected_call_table.ts
+++ b/packages/kernel/src/protected_call_table.ts
@@ -133,7 +133,7 @@
     if (this.#wasNeverIssued(key)) return err({ kind: "key-not-issued" });
     if (this.#isClosed(key)) return ok({ kind: "settled", state: "closed" });
     if (!this.#hasRoom()) {
-      this.closeUnseenKeys();
+      this.#closeUnseenKeys();
       return err({ kind: "table-full" });
     }
     this.#put({
@@ -152,11 +152,6 @@
     this.#put(this.#settle(record, end));
   }
 
-  /** Closes every key that this table has not recorded so far. */
-  closeUnseenKeys(): void {
-    this.#closedUpTo = this.#latestExpiryHandedOut;
-  }
-
   /** Closes every key that is not recorded, those handed out later as well. */
   closeForGood(): void {
     this.#isClosedForGood = true;
@@ -211,6 +206,11 @@
       key.expiresAtMilliseconds <= this.#closedUpTo;
   }
 
+  /** Closes every key that this table has not recorded so far. */
+  #closeUnseenKeys(): void {
+    this.#closedUpTo = this.#latestExpiryHandedOut;
+  }
+
   #hasRoom(): boolean {
     const { maximumKeys, maximumBytes } = this.#options;
     const bytesAfter = this.#bytes + RECORD_OVERHEAD_BYTES;
--- a/packages/proof/src/intentions_test.ts
+++ b/packages/proof/src/intentions_test.ts
@@ -9,6 +9,11 @@
 
 const IN_FORCE_MILLISECONDS = 3_000;
 
+const SILENCE_MILLISECONDS = 5_000;
+/** Longest watch; entries that began as watchers have stopped after it. */
+const WATCH_MILLISECONDS = 10_000;
+
+type WatcherView = { readonly platform: { readonly isWatcher: boolean } };
 type StatusView = {
   readonly intentions: {
     readonly inForce: readonly {
@@ -154,6 +159,22 @@
     await until(() => allHave(fleet, 2, 20), IN_FORCE_MILLISECONDS);
   });
 
+  test("entries that did not watch take over from killed watchers", async () => {
+    fleet = await deploy({ entries: 1, backends: 2 });
+    for (let entry = 0; entry < 3; entry++) await fleet.startEntry("a");
+    await sleep(WATCH_MILLISECONDS + 1_000);
+    for (const entry of [...fleet.entries]) {
+      const { platform } = await fleet.status<WatcherView>(entry);
+      if (!platform.isWatcher) continue;
+      await entry.child.kill();
+      fleet.entries.splice(fleet.entries.indexOf(entry), 1);
+    }
+    expect(fleet.entries).toHaveLength(2);
+    await sleep(SILENCE_MILLISECONDS + 1_500);
+    await fleet.publish(sheetWith(fleet, fix(2, 20)));
+    await until(() => allHave(fleet, 2, 20), IN_FORCE_MILLISECONDS);
+  });
+
   test("good rows of a sheet with bad rows are in force", async () => {
     fleet = await deploy({ entries: 2, backends: 2 });
     const bad = { ...fix(1, 1), intention: "bad", value: "many" };
