Renew marks of leaving backend servers at peers; read the instance list only at watchers

Cause: peers were told of a leaving backend server once. Their marks expired after 15 s, while the poller's own was renewed. Seen first: 'only the health endpoint says so', extended beyond one mark, failed with 16 arrivals at the leaving server. Ruled out: the poller itself (its marks stayed). Change: a source that goes on seeing the signal tells peers again after a quarter of the mark's life. Second cause: every entry read the instance list every 2 s, so the platform's load grew with the fleet (measured 5.3 reads/s at 9 entries, 10.5 at 18, 23 to 25.6 at 40). Now watchers read it and tell the others, who read it every 30 s. After: npx vitest run packages/proof/src/leaving, 5 of 5 passed.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -14,7 +14,10 @@
 import type { ChoosingPolicyPlugIn } from "@marigoldford/kernel/choosing_policy";
 import { EntryDirectory } from "@marigoldford/kernel/entry_directory";
 import { mintKey } from "@marigoldford/kernel/idempotency_key";
-import { LeavingServers } from "@marigoldford/kernel/leaving_servers";
+import {
+  LeavingServers,
+  type LeavingSource,
+} from "@marigoldford/kernel/leaving_servers";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { ProtectedCallTable } from "@marigoldford/kernel/protected_call_table";
 import { Quarantine } from "@marigoldford/kernel/quarantine";
@@ -447,7 +450,7 @@
     this.#every(mesh.recordIntervalMilliseconds, () => this.#announce());
     this.#every(
       platform.instanceListIntervalMilliseconds,
-      () => this.#watcher.readInstances(),
+      () => this.#watcher.instancesTurn(),
     );
     this.#every(HOUSEKEEPING_MILLISECONDS, () => this.#keepHouse());
     this.#every(PAUSE_CHECK_MILLISECONDS, () => this.#refreshBeliefs());
@@ -486,7 +489,7 @@
       const isBackend = instance.role === "backend-server";
       if (isBackend && instance.state === "leaving") {
         leaving.add(instance.address);
-        this.#connections.closeIdle(instance.address);
+        this.#noteLeaving(instance.address, "instance-list");
       }
       if (!isBackend && instance.meshAddress !== undefined) {
         meshAddresses.push(instance.meshAddress);
@@ -496,9 +499,9 @@
     this.#mesh.setListed(meshAddresses);
   }
 
-  #noteLeaving(address: Address, source: "answer" | "health"): void {
-    const isNew = this.#leavingServers.note(address, { source });
-    if (!isNew) return;
+  #noteLeaving(address: Address, source: LeavingSource): void {
+    const tells = this.#leavingServers.note(address, { source });
+    if (!tells) return;
     LOG.write("backend-server-leaving", () => ({ address, source }));
     this.#connections.closeIdle(address);
     this.#mesh.pushLeaving(address);
--- a/packages/entry/src/platform_watcher.ts
+++ b/packages/entry/src/platform_watcher.ts
@@ -39,6 +39,7 @@
   #newestVersion = 0;
   #lastReadOk = false;
   #nextReadAt = 0;
+  #nextInstancesAt = 0;
 
   constructor(options: PlatformWatcherOptions) {
     this.#options = options;
@@ -101,6 +102,17 @@
     return this.#read(false);
   }
 
+  /**
+   * Watchers read the instance list and tell the others; these read it
+   * seldom, so that the platform's load does not grow with the fleet.
+   */
+  async instancesTurn(): Promise<void> {
+    const { clock, settings } = this.#options;
+    if (!this.isWatcher && clock() < this.#nextInstancesAt) return;
+    this.#nextInstancesAt = clock() + settings.fallbackReadIntervalMilliseconds;
+    await this.readInstances();
+  }
+
   async readInstances(): Promise<void> {
     const instances = await this.#options.client.readInstances();
     if (instances.isOk()) this.#options.onInstances(instances.value);
--- a/packages/kernel/src/leaving_servers.ts
+++ b/packages/kernel/src/leaving_servers.ts
@@ -21,7 +21,15 @@
   readonly ageMilliseconds: number;
 };
 
-type SeenMark = { readonly source: LeavingSource; readonly seenAt: number };
+type SeenMark = {
+  readonly source: LeavingSource;
+  readonly seenAt: number;
+  /** When peers last learned of the mark. */
+  readonly toldAt: number;
+};
+
+/** Peers are told again after this share of a mark's life. */
+const RENEWAL_SHARE = 0.25;
 
 export type LeavingServersOptions = {
   readonly clock: Clock;
@@ -46,18 +54,30 @@
     this.#instanceList = addresses;
   }
 
-  /** Notes a signal; returns whether the address was not marked before. */
+  /**
+   * Notes a signal; returns whether peers are to be told. They are told anew
+   * while signals go on, because their marks expire like this entry's own.
+   */
   note(
     address: Address,
     signal: { source: LeavingSource; ageMilliseconds?: number },
   ): boolean {
+    const { clock, keepMilliseconds } = this.#options;
     const age = signal.ageMilliseconds ?? 0;
-    if (age >= this.#options.keepMilliseconds) return false;
-    const seenAt = this.#options.clock() - age;
+    if (age >= keepMilliseconds) return false;
+    const seenAt = clock() - age;
     const known = this.#liveMark(address);
     if (known !== undefined && known.seenAt >= seenAt) return false;
-    this.#seen.set(address, { source: signal.source, seenAt });
-    return known === undefined;
+    const { source } = signal;
+    const isPeers = source === "peer";
+    const isDue = known === undefined ||
+      seenAt - known.toldAt > keepMilliseconds * RENEWAL_SHARE;
+    const tells = !isPeers && isDue;
+    const toldAt = tells || known === undefined || isPeers
+      ? seenAt
+      : known.toldAt;
+    this.#seen.set(address, { source, seenAt, toldAt });
+    return tells;
   }
 
   has(address: Address): boolean {
--- a/packages/proof/src/leaving_servers_test.ts
+++ b/packages/proof/src/leaving_servers_test.ts
@@ -7,6 +7,8 @@
 import { act, deploy, look, mint, sleep } from "./deployment.ts";
 
 const BOUND_MILLISECONDS = 3_000;
+/** How long one signal counts, unless it is renewed. */
+const MARK_MILLISECONDS = 15_000;
 
 /** Calls through every entry; all must be answered. */
 async function callAll(fleet: Fleet, label: string): Promise<void> {
@@ -68,6 +70,8 @@
     await fleet.behave(leaver.address, { isLeavingQuietly: true });
     await sleep(BOUND_MILLISECONDS);
     expect(await arrivalsDuring(fleet, () => callAll(fleet, "h"))).toBe(0);
+    await sleep(MARK_MILLISECONDS + 1_000);
+    expect(await arrivalsDuring(fleet, () => callAll(fleet, "l"))).toBe(0);
   });
 
   test("only the instance list says so", async () => {
