--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -32,7 +32,6 @@
 import { CallForwarder } from "./call_forwarder.ts";
 import { CallServer, type OperatorPage } from "./call_server.ts";
 import { ConnectionPools } from "./connection_pools.ts";
-import { describeEntries } from "./entries_page.ts";
 import { handOver } from "./hand_over.ts";
 import { HandOverDirectory } from "./hand_over_directory.ts";
 import { HealthPoller } from "./health_poller.ts";
@@ -40,13 +39,13 @@
 import { IntentionKeeper } from "./intention_keeper.ts";
 import { MeshService } from "./mesh_service.ts";
 import { EntryMetrics } from "./metrics.ts";
+import { makeOperatorPages } from "./operator_pages.ts";
 import type { EntryOptions } from "./options.ts";
 import { PlatformWatcher } from "./platform_watcher.ts";
 import { ProtectedCalls } from "./protected_calls.ts";
 import { ProtectedRunner } from "./protected_runner.ts";
 import { RepeatableCalls } from "./repeatable_calls.ts";
 import { ServicePools } from "./service_pools.ts";
-import { describeStatus, type StatusSources } from "./status_page.ts";
 import { idle, sleep, within } from "./timing.ts";
 
 /** The entry could not start. */
@@ -366,30 +365,11 @@
   }
 
   #pages(): Map<string, OperatorPage> {
-    const json = "application/json";
-    return new Map([
-      ["entries", { contentType: json, text: () => this.#entriesText() }],
-      ["status", { contentType: json, text: () => this.#statusText() }],
-      ["metrics", {
-        contentType: "text/plain; version=0.0.4",
-        text: () => this.#metrics.text(this.#gauges()),
-      }],
-    ]);
-  }
-
-  #entriesText(): string {
-    return JSON.stringify(describeEntries({
-      serving: this.#directory.serving(),
-      self: this.#incarnation,
-      ownKeyPrefix: () => this.#table.keyPrefix(),
-      validMilliseconds: this.#options.calls.answerValidMilliseconds,
-      random: Math.random,
-    }));
-  }
-
-  #statusText(): string {
-    const sources: StatusSources = {
+    return makeOperatorPages({
       clock: this.#clock,
+      random: Math.random,
+      answerValidMilliseconds: this.#options.calls.answerValidMilliseconds,
+      callsInProgress: () => this.#server.inProgress,
       incarnation: this.#incarnation,
       state: () => this.#state,
       intentions: this.#intentions,
@@ -403,20 +383,7 @@
       platformReads: () => this.#platform.reads,
       mesh: this.#mesh.node,
       metrics: this.#metrics,
-    };
-    return JSON.stringify(describeStatus(sources), undefined, 2) + "\n";
-  }
-
-  #gauges(): Map<string, number> {
-    return new Map([
-      ["calls_in_progress", this.#server.inProgress],
-      ["protected_keys", this.#table.keyCount],
-      ["protected_bytes", this.#table.bytes],
-      ["intentions", this.#intentions.store.size],
-      ["refused_rows", this.#intentions.refusedRows().length],
-      ["peers_alive", this.#directory.alive().length],
-      ["platform_reads", this.#platform.reads],
-    ]);
+    });
   }
 
   #announce(): void {
