Compute the poll budget each turn in place of keeping it

A changed probe-slot-share, or changed slots, was then not in force. Ruled out: the routing table and the pools, which had the new share. Seen first: health_poller_test.ts, 100 polls in 10 s under a budget of 0 (at most 1 expected). Change: the rate is derived each turn, a sum over the pools; the costly ranking stays on change. After: the test passes.

--- a/packages/entry/src/health_poller.ts
+++ b/packages/entry/src/health_poller.ts
@@ -43,7 +43,6 @@
   #lastTurn: number;
   #members = "";
   #addresses: ReadonlySet<Address> = new Set();
-  #pollsPerSecond = 0;
 
   constructor(options: HealthPollerOptions) {
     this.#options = options;
@@ -87,9 +86,9 @@
   #earnTokens(now: number): void {
     const elapsed = (now - this.#lastTurn) / MILLISECONDS_PER_SECOND;
     this.#lastTurn = now;
-    const most = Math.max(1, this.#pollsPerSecond);
-    const earned = elapsed * this.#pollsPerSecond;
-    this.#tokens = Math.min(most, this.#tokens + earned);
+    const rate = this.pollsPerSecondAllowed();
+    const most = Math.max(1, rate);
+    this.#tokens = Math.min(most, this.#tokens + elapsed * rate);
   }
 
   /**
@@ -110,7 +109,6 @@
     if (isSame) return;
     this.#members = members;
     this.#addresses = addresses;
-    this.#pollsPerSecond = this.pollsPerSecondAllowed();
     this.#assign(entries, now);
   }
 
