Use one piece of code where the change had written it again

A clean-up without a change of behaviour; tests keep their assertions. - five hand-written waits (client, load, demo, proof, entry) became setTimeout of node:timers/promises; - offersOf, mint and readCounter stood in the demo, the failure tests and the benchmark; they are in stand_ins/entry_access.ts; - EntryOffer was declared by the entry, the caller's library and the tests; it is in kernel/entry_offer.ts; - added_time has the median of bench_table; control_cost writes its sheet with sheet_writer; the pool of a routed call is ServicePools.ofCall; - the queue-full scenario sent five calls without a key only to count to five. Looked at and left: the repeated set-up of deployments in at_most_once_test, and pairs alike only in the shape of their type declarations.

--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -8,11 +8,13 @@
  */
 import { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
+import { setTimeout as pause } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
+import type { EntryOffer } from "@marigoldford/kernel/entry_offer";
 import { mintKey } from "@marigoldford/kernel/idempotency_key";
 import type { Address, Clock, RandomSource } from "@marigoldford/kernel/types";
 import { EntryOffers } from "./entry_offers.ts";
-import type { EntryOffer, NoEntry } from "./entry_offers.ts";
+import type { NoEntry } from "./entry_offers.ts";
 import type { ExchangeAnswer } from "./http_exchange.ts";
 import { HttpExchange } from "./http_exchange.ts";
 
@@ -301,7 +303,3 @@
   if (body === undefined) return undefined;
   return typeof body === "string" ? Buffer.from(body) : Buffer.from(body);
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/client/src/entry_offers.ts
+++ b/packages/client/src/entry_offers.ts
@@ -2,17 +2,13 @@
  * Asks entries which entries to use, and keeps the answer while it is valid.
  */
 import { err, ok, type Result } from "neverthrow";
+import type {
+  EntriesAnswer,
+  EntryOffer,
+} from "@marigoldford/kernel/entry_offer";
 import type { Address, Clock, RandomSource } from "@marigoldford/kernel/types";
 import type { HttpExchange } from "./http_exchange.ts";
 
-/** One entry that a caller may use, as `/marigoldford/entries` lists it. */
-export type EntryOffer = {
-  readonly address: Address;
-  readonly incarnation: string;
-  readonly failureDomain: string;
-  readonly keyPrefix: string;
-};
-
 export type NoEntry = {
   readonly kind: "no-entry";
   readonly asked: readonly Address[];
@@ -34,11 +30,6 @@
   readonly validUntil: number;
 };
 
-type EntriesBody = {
-  readonly entries?: readonly EntryOffer[];
-  readonly validForMilliseconds?: number;
-};
-
 export class EntryOffers {
   readonly #options: EntryOffersOptions;
   #kept: KeptAnswer | undefined;
@@ -118,9 +109,9 @@
   }
 }
 
-function parseEntries(text: string): EntriesBody | undefined {
+function parseEntries(text: string): Partial<EntriesAnswer> | undefined {
   try {
-    return JSON.parse(text) as EntriesBody;
+    return JSON.parse(text) as Partial<EntriesAnswer>;
   } catch {
     return undefined;
   }
--- a/packages/entry/src/call_forwarder.ts
+++ b/packages/entry/src/call_forwarder.ts
@@ -71,9 +71,7 @@
     const key = readKey(content.key);
     if ("reason" in key) return { refusal: key };
     const routed = this.#options.intentions.table.route(call);
-    const pool = routed === undefined
-      ? undefined
-      : this.#options.pools.find(routed.service.service);
+    const pool = this.#options.pools.ofCall(routed);
     const outcome = await calls.handle({ call, key, pool, caller: undefined });
     return replyOfOutcome(outcome);
   }
--- a/packages/entry/src/call_server.ts
+++ b/packages/entry/src/call_server.ts
@@ -184,7 +184,7 @@
   ): Promise<void> {
     const { routed, response } = context;
     const isProtected = call.key !== undefined || routed?.isProtected === true;
-    const pool = this.#poolOf(routed);
+    const pool = this.#options.pools.ofCall(routed);
     pool?.noteCall();
     if (isProtected) {
       return await this.#serveProtected(call, { pool, response });
@@ -206,15 +206,10 @@
   }
 
   #usualDeadline(routed: RoutedCall | undefined): number {
-    return this.#poolOf(routed)?.deadlineMilliseconds ??
+    return this.#options.pools.ofCall(routed)?.deadlineMilliseconds ??
       this.#options.settings.deadlineMilliseconds;
   }
 
-  #poolOf(routed: RoutedCall | undefined): ServicePool | undefined {
-    if (routed === undefined) return undefined;
-    return this.#options.pools.find(routed.service.service);
-  }
-
   #refusalBeforePlacing(
     call: ReadCall,
     pool: ServicePool | undefined,
--- a/packages/entry/src/entries_page.ts
+++ b/packages/entry/src/entries_page.ts
@@ -2,26 +2,9 @@
  * The answer to "which entry shall I use".
  */
 import type { EntryRecord } from "@marigoldford/kernel/entry_directory";
+import type { EntriesAnswer } from "@marigoldford/kernel/entry_offer";
 import type { KeyPrefix } from "@marigoldford/kernel/idempotency_key";
-import type {
-  Address,
-  FailureDomain,
-  Incarnation,
-  RandomSource,
-} from "@marigoldford/kernel/types";
-
-export type EntryOffer = {
-  readonly address: Address;
-  readonly incarnation: Incarnation;
-  readonly failureDomain: FailureDomain;
-  /** Callers mint keys for this entry by adding a unique part. */
-  readonly keyPrefix: KeyPrefix;
-};
-
-export type EntriesAnswer = {
-  readonly entries: readonly EntryOffer[];
-  readonly validForMilliseconds: number;
-};
+import type { Incarnation, RandomSource } from "@marigoldford/kernel/types";
 
 export type EntriesSources = {
   readonly serving: readonly EntryRecord[];
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,6 +5,7 @@
  * the scope closes ports, connections and loops in reverse order.
  */
 import { randomBytes, randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import * as Data from "effect/Data";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
@@ -46,7 +47,7 @@
 import { ProtectedRunner } from "./protected_runner.ts";
 import { RepeatableCalls } from "./repeatable_calls.ts";
 import { ServicePools } from "./service_pools.ts";
-import { idle, sleep, within } from "./timing.ts";
+import { idle, within } from "./timing.ts";
 
 /** The entry could not start. */
 export class EntryStartFailure extends Data.TaggedError("EntryStartFailure")<{
--- a/packages/entry/src/service_pools.ts
+++ b/packages/entry/src/service_pools.ts
@@ -2,7 +2,10 @@
  * The pools of all services in force.
  */
 import type { ChoosingPolicyPlugIn } from "@marigoldford/kernel/choosing_policy";
-import type { RoutingTable } from "@marigoldford/kernel/routing_table";
+import type {
+  RoutedCall,
+  RoutingTable,
+} from "@marigoldford/kernel/routing_table";
 import {
   ServicePool,
   type ServicePoolDefaults,
@@ -30,8 +33,10 @@
     this.#options = options;
   }
 
-  find(service: ServiceName): ServicePool | undefined {
-    return this.#pools.get(service);
+  /** The pool of the service that a call was routed to. */
+  ofCall(routed: RoutedCall | undefined): ServicePool | undefined {
+    if (routed === undefined) return undefined;
+    return this.#pools.get(routed.service.service);
   }
 
   all(): ServicePool[] {
--- a/packages/entry/src/timing.ts
+++ b/packages/entry/src/timing.ts
@@ -9,11 +9,6 @@
   });
 }
 
-/** Resolves after a while, and keeps the process running until then. */
-export function sleep(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /** Resolves with the promise, or after the bound. */
 export async function within(
   promise: Promise<void>,
--- a/packages/load/src/added_time.ts
+++ b/packages/load/src/added_time.ts
@@ -13,6 +13,7 @@
   deploymentLines,
   writeSheet,
 } from "@marigoldford/stand_ins/sheet_writer";
+import { median } from "./bench_table.ts";
 import { type LoadResult, OpenLoop } from "./open_loop.ts";
 import { processorMilliseconds, residentBytes } from "./process_usage.ts";
 
@@ -86,12 +87,6 @@
   ], forwarder];
 }
 
-function middle(values: number[]): number {
-  return values.sort((left, right) => left - right)[
-    Math.floor(values.length / 2)
-  ];
-}
-
 async function main(): Promise<void> {
   const flags = readFlags();
   const fleet = new Fleet();
@@ -113,9 +108,9 @@
         results.push(await measure(path, load));
       }
       if (path.name === "direct") direct.push(...results);
-      const p99 = middle(results.map((result) => result.p99Milliseconds));
-      const p50 = middle(results.map((result) => result.p50Milliseconds));
-      const base = middle(direct.map((result) => result.p99Milliseconds));
+      const p99 = median(results.map((result) => result.p99Milliseconds));
+      const p50 = median(results.map((result) => result.p50Milliseconds));
+      const base = median(direct.map((result) => result.p99Milliseconds));
       const added = p99 - base;
       process.stdout.write(
         `| ${rate} | ${path.name} | ${p50.toFixed(2)} | ${p99.toFixed(2)} ` +
--- a/packages/load/src/cell.ts
+++ b/packages/load/src/cell.ts
@@ -2,7 +2,9 @@
  * One cell of the benchmark: one policy in one scene with one seed, with
  * processes of its own.
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { Fleet, type SettingsOverride } from "@marigoldford/stand_ins/fleet";
+import { readCounter } from "@marigoldford/stand_ins/entry_access";
 import { sendPlain } from "@marigoldford/stand_ins/http_json";
 import {
   deploymentLines,
@@ -182,12 +184,3 @@
       (slots * seconds * MILLISECONDS_PER_SECOND),
   };
 }
-
-function readCounter(text: string, name: string): number {
-  const match = new RegExp(`marigoldford_${name}_total (\\d+)`).exec(text);
-  return Number(match?.[1] ?? 0);
-}
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/load/src/control_cost.ts
+++ b/packages/load/src/control_cost.ts
@@ -5,9 +5,11 @@
  * `node packages/load/dist/control_cost.js`
  */
 import process from "node:process";
+import { setTimeout as pause } from "node:timers/promises";
 import { cac } from "cac";
 import { Fleet } from "@marigoldford/stand_ins/fleet";
 import {
+  deploymentLines,
   type SheetLine,
   writeSheet,
 } from "@marigoldford/stand_ins/sheet_writer";
@@ -46,32 +48,6 @@
   readonly traffic: readonly { readonly bytes: number }[];
 };
 
-function sheetLines(fleet: Fleet, size: Size): SheetLine[] {
-  const lines: SheetLine[] = [];
-  for (let service = 0; service < size.services; service++) {
-    lines.push({
-      intention: `rule-${service}`,
-      revision: 1,
-      kind: "service-rule",
-      service: `service-${service}`,
-      path_prefix: `/service-${service}`,
-    });
-  }
-  fleet.backends.forEach(({ address }, index) => {
-    lines.push({
-      intention: `server-${index}`,
-      revision: 1,
-      kind: "backend-server",
-      service: `service-${index % size.services}`,
-      address,
-      failure_domain: `domain-${index % 4}`,
-      slots: 2,
-      connections: 250,
-    });
-  });
-  return lines;
-}
-
 type Reading = {
   readonly processor: number;
   readonly bytes: number;
@@ -113,14 +89,14 @@
   try {
     await fleet.startPlatform();
     await fleet.startBackends(
-      Array.from({ length: size.targets }, () => ({
-        service: "any",
-        failureDomain: "any",
+      Array.from({ length: size.targets }, (_, index) => ({
+        service: `service-${index % size.services}`,
+        failureDomain: `domain-${index % 4}`,
         behaviour: {},
       })),
       STAND_INS_PER_PROCESS,
     );
-    const lines = sheetLines(fleet, size);
+    const lines = deploymentLines(fleet.backends);
     await fleet.publish(writeSheet(lines));
     const starting = Array.from(
       { length: size.entries },
@@ -168,10 +144,6 @@
   ].join(" | ").trim();
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 async function main(): Promise<void> {
   const program = cac("control-cost");
   program.option("--most <entries>", "Skip larger fleets", { default: 40 });
--- a/packages/load/src/open_loop.ts
+++ b/packages/load/src/open_loop.ts
@@ -4,6 +4,7 @@
  * cannot hide its queue by slowing its callers down (coordinated omission).
  */
 import { Agent, request } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import { build, type Histogram } from "hdr-histogram-js";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -140,7 +141,3 @@
     };
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/proof/src/bad_input_test.ts
+++ b/packages/proof/src/bad_input_test.ts
@@ -1,7 +1,9 @@
 import { connect } from "node:net";
 import { afterAll, beforeAll, describe, expect, test } from "vitest";
 import type { Fleet } from "@marigoldford/stand_ins/fleet";
-import { act, deploy, look, mint, sleep } from "./deployment.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { mint } from "@marigoldford/stand_ins/entry_access";
+import { act, deploy, look } from "./deployment.ts";
 
 /** Sends raw bytes and reads until the other side closes, or a bound. */
 function sendRaw(
--- a/packages/proof/src/intentions_test.ts
+++ b/packages/proof/src/intentions_test.ts
@@ -5,7 +5,8 @@
   type SheetLine,
   writeSheet,
 } from "@marigoldford/stand_ins/sheet_writer";
-import { deploy, look, sleep, until } from "./deployment.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { deploy, look, until } from "./deployment.ts";
 
 const IN_FORCE_MILLISECONDS = 3_000;
 
--- a/packages/proof/src/leaving_servers_test.ts
+++ b/packages/proof/src/leaving_servers_test.ts
@@ -4,7 +4,9 @@
   deploymentLines,
   writeSheet,
 } from "@marigoldford/stand_ins/sheet_writer";
-import { act, deploy, look, mint, sleep } from "./deployment.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { mint } from "@marigoldford/stand_ins/entry_access";
+import { act, deploy, look } from "./deployment.ts";
 
 const BOUND_MILLISECONDS = 3_000;
 /** How long one signal counts, unless it is renewed. */
--- a/packages/proof/src/whole_answers_test.ts
+++ b/packages/proof/src/whole_answers_test.ts
@@ -4,7 +4,8 @@
 import { Relay } from "@marigoldford/stand_ins/relay";
 import { sendPlain } from "@marigoldford/stand_ins/http_json";
 import { serviceRule } from "@marigoldford/stand_ins/sheet_writer";
-import { deploy, look, sleep, sumLedgers, until } from "./deployment.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { deploy, look, sumLedgers, until } from "./deployment.ts";
 
 const LONG_BODY_BYTES = 100_000_000;
 const MEMORY_GROWTH_BYTES = 60_000_000;
--- /dev/null
+++ b/packages/stand_ins/src/entry_access.ts
@@ -0,0 +1,37 @@
+/**
+ * What the demo and the failure tests ask of entries.
+ */
+import { randomUUID } from "node:crypto";
+import type {
+  EntriesAnswer,
+  EntryOffer,
+} from "@marigoldford/kernel/entry_offer";
+import { mintKey } from "@marigoldford/kernel/idempotency_key";
+import type { RunningEntry } from "./fleet.ts";
+import { readJson } from "./http_json.ts";
+
+/** The entries that an entry offers to callers. */
+export async function offersOf(
+  entry: RunningEntry,
+): Promise<readonly EntryOffer[]> {
+  const answer = await readJson<EntriesAnswer>(
+    entry.callAddress,
+    "/marigoldford/entries",
+  );
+  return answer.entries;
+}
+
+/** A key that `entry` owns. */
+export async function mint(entry: RunningEntry): Promise<string> {
+  const own = (await offersOf(entry)).find(({ incarnation }) =>
+    incarnation === entry.incarnation
+  );
+  if (own === undefined) throw new Error("The entry does not offer itself");
+  return mintKey(own.keyPrefix, randomUUID());
+}
+
+/** A counter from the text of the metrics page. */
+export function readCounter(text: string, name: string): number {
+  const match = new RegExp(`marigoldford_${name}_total (\\d+)`).exec(text);
+  return Number(match?.[1] ?? 0);
+}
