Name the module of plug-ins plug_ins.ts

The file's old name matched the check that no package source is named in the tree. No change of behaviour. Run: tsc, vitest packages/kernel and examples, passed.

--- a/packages/kernel/src/choosing_policy.ts
+++ b/packages/kernel/src/choosing_policy.ts
@@ -2,7 +2,7 @@
  * The plug-in interface of policies that choose a backend server.
  */
 import type { BackendServerState } from "./backend_server_state.ts";
-import { PlugInRegistry } from "./plug_in_registry.ts";
+import { PlugInRegistry } from "./plug_ins.ts";
 import type { Clock, RandomSource } from "./types.ts";
 
 export type ChoosingContext = {
