--- a/packages/entry/src/intention_keeper.ts
+++ b/packages/entry/src/intention_keeper.ts
@@ -12,7 +12,7 @@
 import { readSheet, type SheetFailure } from "@marigoldford/kernel/sheet";
 import type { SheetRowFault } from "@marigoldford/kernel/sheet";
 import { Logger } from "@marigoldford/logger/logger";
-import type { PlatformValues } from "@marigoldford/platform/platform_client";
+import type { PlatformValues } from "@marigoldford/configuration_service/platform_client";
 
 export type RowSource = "platform" | "peer";
 
--- a/packages/entry/src/platform_watcher.ts
+++ b/packages/entry/src/platform_watcher.ts
@@ -17,7 +17,7 @@
   PlatformClient,
   PlatformInstance,
   PlatformValues,
-} from "@marigoldford/platform/platform_client";
+} from "@marigoldford/configuration_service/platform_client";
 import type { EntryOptions } from "./options.ts";
 
 export type PlatformWatcherOptions = {
--- /dev/null
+++ b/packages/gateway/src/datagram_port.ts
@@ -0,0 +1,63 @@
+/**
+ * The datagram socket between entries.
+ */
+import { createSocket, type Socket } from "node:dgram";
+import { splitAddress } from "@marigoldford/kernel/address";
+import type { Address } from "@marigoldford/kernel/types";
+import {
+  decodeDatagram,
+  encodeFleetMessage,
+  type FleetDatagram,
+  type MessageUnreadable,
+} from "./fleet_messages.ts";
+
+export type DatagramPortOptions = {
+  readonly address: Address;
+  readonly onDatagram: (datagram: FleetDatagram, sender: Address) => void;
+  readonly onUnreadable: (sender: Address, fault: MessageUnreadable) => void;
+  readonly onSendFailure: (to: Address) => void;
+};
+
+export class DatagramPort {
+  readonly #options: DatagramPortOptions;
+  readonly #socket: Socket;
+
+  constructor(options: DatagramPortOptions) {
+    this.#options = options;
+    this.#socket = createSocket("udp4");
+    this.#socket.on("message", (bytes, { address, port }) => {
+      const sender = `${address}:${port}`;
+      const datagram = decodeDatagram(bytes);
+      if (datagram.isOk()) options.onDatagram(datagram.value, sender);
+      else options.onUnreadable(sender, datagram.error);
+    });
+    this.#socket.on("error", () => options.onSendFailure(options.address));
+  }
+
+  open(): Promise<void> {
+    const { host, port } = splitAddress(this.#options.address);
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind({ address: host, port, exclusive: true }, () => {
+        this.#socket.off("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Sends to each address; a lost datagram is repeated by the next one. */
+  send(to: readonly Address[], datagram: FleetDatagram): void {
+    if (to.length === 0) return;
+    const bytes = encodeFleetMessage(datagram);
+    for (const address of to) {
+      const { host, port } = splitAddress(address);
+      this.#socket.send(bytes, port, host, (error) => {
+        if (error !== null) this.#options.onSendFailure(address);
+      });
+    }
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/discovery_keeper.ts
@@ -0,0 +1,285 @@
+/**
+ * Keeps the discovery state of an entry complete: from the discovery service
+ * if this entry watches it, else from the peers that do.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  type DiscoveryChange,
+  type DiscoveryReading,
+  DiscoveryState,
+} from "@marigoldford/kernel/discovery_state";
+import { watcherReason } from "@marigoldford/kernel/watcher_choice";
+import type { Clock, RandomSource } from "@marigoldford/kernel/types";
+import type { DiscoveryFailure, DiscoverySource } from "./discovery_source.ts";
+import type { WriteEvent } from "./events.ts";
+import type { DiscoveryNews } from "./fleet_messages.ts";
+
+export type DiscoveryKeeperOptions = {
+  readonly source: DiscoverySource;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly settings: DiscoverySettings;
+  readonly self: string;
+  /** Incarnations of live entries that may watch. */
+  readonly members: () => readonly string[];
+  readonly onChange: (changes: readonly DiscoveryChange[]) => void;
+  /** Tells peers what the service has just answered. */
+  readonly onAnswer: (answer: ServiceAnswer) => void;
+  /** Asks a peer that knows more for everything. */
+  readonly writeEvent: WriteEvent;
+  readonly onCall: (outcome: string) => void;
+};
+
+export type ServiceAnswer = {
+  readonly baseRevision: number;
+  readonly revision: number;
+  readonly changes: readonly DiscoveryChange[];
+};
+
+export type DiscoverySettings = {
+  /** Entries that watch for the whole fleet. */
+  readonly watchers: number;
+  /** How long one watch waits for a change. */
+  readonly watchWaitMilliseconds: number;
+  /** Pause after a watch that brought changes, to gather the next ones. */
+  readonly gatherMilliseconds: number;
+  /** Older news makes an entry watch by itself. */
+  readonly newsBoundMilliseconds: number;
+  /** Registrations that expired in an outage are kept this long after it. */
+  readonly returnMilliseconds: number;
+};
+
+/** Without news for this long, registrations may have expired meanwhile. */
+const OUTAGE_MILLISECONDS = 2_000;
+const IDLE_CHECK_MILLISECONDS = 50;
+const BACK_OFF_START_MILLISECONDS = 100;
+const BACK_OFF_LIMIT_MILLISECONDS = 800;
+/** Entries whose news is old begin to watch at different moments. */
+const STAGGER_MILLISECONDS = 200;
+
+export class DiscoveryKeeper {
+  readonly state: DiscoveryState;
+  readonly #options: DiscoveryKeeperOptions;
+  readonly #stagger: number;
+  #confirmedAtMilliseconds = -Infinity;
+  #isStopped = false;
+  #isWatching = false;
+  #isLost = false;
+  #failures = 0;
+  #mustReread = true;
+  /** Refused lately; another entry watches better. */
+  #refusedUntilMilliseconds = -Infinity;
+
+  constructor(options: DiscoveryKeeperOptions) {
+    this.#options = options;
+    this.#stagger = options.random() * STAGGER_MILLISECONDS;
+    this.state = new DiscoveryState(options.settings);
+  }
+
+  /** Time since the state was known to be complete. */
+  get newsAgeMilliseconds(): number {
+    return this.#options.clock() - this.#confirmedAtMilliseconds;
+  }
+
+  get news(): DiscoveryNews {
+    const age = Math.round(this.newsAgeMilliseconds);
+    return {
+      revision: this.state.revision,
+      ageMilliseconds: Number.isFinite(age) ? age : Number.MAX_SAFE_INTEGER,
+    };
+  }
+
+  get isWatching(): boolean {
+    return this.#isWatching;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#options.source.close();
+  }
+
+  /** Takes a complete reading from a peer. */
+  takeReading(reading: DiscoveryReading, ageMilliseconds: number): void {
+    if (reading.revision <= this.state.revision) return;
+    this.#takeAnswer(() => this.state.replace(reading, this.#now()));
+    this.#confirm(ageMilliseconds);
+  }
+
+  /** Takes changes from a peer; false if others before them are missing. */
+  takeChanges(answer: ServiceAnswer, ageMilliseconds: number): boolean {
+    if (answer.baseRevision > this.state.revision) return false;
+    this.#takeAnswer(() =>
+      this.state.apply(answer.changes, answer.revision, this.#now())
+    );
+    if (this.state.revision <= answer.revision) this.#confirm(ageMilliseconds);
+    return true;
+  }
+
+  /** Takes word of a peer's state; false if that peer knows more. */
+  takeNews(news: DiscoveryNews): boolean {
+    if (news.revision > this.state.revision) return false;
+    if (news.revision === this.state.revision) {
+      this.#confirm(news.ageMilliseconds);
+    }
+    return true;
+  }
+
+  /** After a pause of the process nothing believed is fresh. */
+  expire(): void {
+    this.#confirmedAtMilliseconds = -Infinity;
+  }
+
+  /** Drops records that did not return in time. */
+  sweep(): void {
+    const dropped = this.state.dropExpired(this.#now());
+    if (dropped.length === 0) return;
+    this.#options.onChange(
+      dropped.map((id) => ({
+        kind: "gone",
+        id,
+        reason: "removed",
+        revision: this.state.revision,
+      })),
+    );
+  }
+
+  #now(): number {
+    return this.#options.clock();
+  }
+
+  #confirm(ageMilliseconds: number): void {
+    const at = this.#now() - ageMilliseconds;
+    if (at <= this.#confirmedAtMilliseconds) return;
+    this.#confirmedAtMilliseconds = at;
+    if (!this.#isLost) return;
+    const { newsBoundMilliseconds } = this.#options.settings;
+    if (ageMilliseconds > newsBoundMilliseconds) return;
+    this.#isLost = false;
+    this.#options.writeEvent({
+      event: "discovery-regained",
+      reason: "news",
+      ageMilliseconds: Math.round(ageMilliseconds),
+      revision: this.state.revision,
+    });
+  }
+
+  #takeAnswer(take: () => DiscoveryChange[]): void {
+    if (this.newsAgeMilliseconds > OUTAGE_MILLISECONDS) {
+      this.state.noteReturn(this.#now());
+    }
+    const changes = take();
+    if (changes.length > 0) this.#options.onChange(changes);
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isStopped) {
+      const reason = this.#reason();
+      this.#noteWatching(reason);
+      if (reason === "not-needed") await sleep(IDLE_CHECK_MILLISECONDS);
+      else await this.#readOnce();
+    }
+  }
+
+  #reason() {
+    const { settings, self, members } = this.#options;
+    const isRefused = this.#now() < this.#refusedUntilMilliseconds;
+    return watcherReason({
+      self,
+      eligible: isRefused
+        ? members().filter((member) => member !== self)
+        : members(),
+      watchers: settings.watchers,
+      newsAgeMilliseconds: this.newsAgeMilliseconds,
+      newsBoundMilliseconds: settings.newsBoundMilliseconds + this.#stagger,
+    });
+  }
+
+  #noteWatching(reason: ReturnType<typeof watcherReason>): void {
+    const isWatching = reason !== "not-needed";
+    if (isWatching === this.#isWatching) return;
+    this.#isWatching = isWatching;
+    this.#options.writeEvent({
+      event: isWatching ? "watch-started" : "watch-stopped",
+      reason,
+      revision: this.state.revision,
+    });
+  }
+
+  async #readOnce(): Promise<void> {
+    const baseRevision = this.state.revision;
+    const failure = this.#mustReread || baseRevision === 0
+      ? await this.#readAll(baseRevision)
+      : await this.#watch(baseRevision);
+    this.#options.onCall(failure?.kind ?? "answered");
+    if (failure !== undefined) await this.#onFailure(failure);
+  }
+
+  async #readAll(
+    baseRevision: number,
+  ): Promise<DiscoveryFailure | undefined> {
+    const reading = await this.#options.source.readAll();
+    if (reading.isErr()) return reading.error;
+    this.#mustReread = false;
+    this.#takeAnswer(() => this.state.replace(reading.value, this.#now()));
+    this.#onSuccess({ baseRevision, ...reading.value });
+    return undefined;
+  }
+
+  async #watch(baseRevision: number): Promise<DiscoveryFailure | undefined> {
+    const { source, settings } = this.#options;
+    const answer = await source.watch(
+      baseRevision,
+      settings.watchWaitMilliseconds,
+    );
+    if (answer.isErr()) return answer.error;
+    const { changes, revision } = answer.value;
+    this.#takeAnswer(() => this.state.apply(changes, revision, this.#now()));
+    this.#onSuccess({ baseRevision, revision, changes });
+    if (changes.length > 0) await sleep(settings.gatherMilliseconds);
+    return undefined;
+  }
+
+  #onSuccess(answer: ServiceAnswer): void {
+    this.#failures = 0;
+    this.#confirm(0);
+    this.#options.onAnswer(answer);
+  }
+
+  async #onFailure(failure: DiscoveryFailure): Promise<void> {
+    if (failure.kind === "history-gone") {
+      this.#mustReread = true;
+      this.#options.writeEvent({
+        event: "history-reread",
+        reason: failure.detail,
+        revision: this.state.revision,
+      });
+      return;
+    }
+    this.#failures += 1;
+    this.#noteLost(failure);
+    const step = Math.min(this.#failures - 1, 4);
+    const pause = Math.min(
+      BACK_OFF_LIMIT_MILLISECONDS,
+      BACK_OFF_START_MILLISECONDS * 2 ** step,
+    );
+    this.#refusedUntilMilliseconds = this.#now() + 4 * pause;
+    await sleep(pause * (0.75 + this.#options.random() / 2));
+  }
+
+  #noteLost(failure: DiscoveryFailure): void {
+    if (this.#isLost) return;
+    this.#isLost = true;
+    this.#options.writeEvent({
+      event: "discovery-lost",
+      reason: `${failure.kind}: ${failure.detail}`,
+      ageMilliseconds: Math.round(
+        Math.min(this.newsAgeMilliseconds, Number.MAX_SAFE_INTEGER),
+      ),
+      revision: this.state.revision,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/events.ts
@@ -0,0 +1,115 @@
+/**
+ * Every event that an entry writes to its log, with typed fields.
+ */
+import type { EventFields, EventLog } from "@marigoldford/logger/event_log";
+
+export type GatewayEvent =
+  | { event: "start"; entry: string; incarnation: string; domain: string }
+  | {
+    event: "ready";
+    version: number;
+    servers: number;
+    afterMilliseconds: number;
+  }
+  | { event: "stop-requested"; inProgress: number }
+  | { event: "stop"; inProgress: number; reason: string }
+  | { event: "reload"; outcome: string }
+  | {
+    event: "configuration-adopted";
+    version: number;
+    from: string;
+    routes: number;
+  }
+  | {
+    event: "server-changed";
+    server: string;
+    service?: string;
+    change: string;
+    from: string;
+    revision?: number;
+  }
+  | { event: "entry-changed"; entry: string; change: string; state: string }
+  | {
+    event: "discovery-lost" | "discovery-regained";
+    reason: string;
+    ageMilliseconds: number;
+    revision: number;
+  }
+  | {
+    event: "watch-started" | "watch-stopped";
+    reason: string;
+    revision: number;
+  }
+  | { event: "history-reread"; reason: string; revision: number }
+  | { event: "pause-noticed"; milliseconds: number }
+  | {
+    event: "attempt-started";
+    request: string;
+    server: string;
+    why: string;
+    expectedMilliseconds: number;
+    load: number;
+    reportAgeMilliseconds?: number;
+    candidates: number;
+  }
+  | {
+    event: "attempt-failed";
+    request: string;
+    server: string;
+    evidence: string;
+    detail?: string;
+    elapsedMilliseconds: number;
+  }
+  | {
+    event: "request-refused" | "request-failed";
+    request: string;
+    route?: string;
+    status: number;
+    reason: string;
+    attempts: number;
+    elapsedMilliseconds: number;
+    configurationVersion: number;
+    retryAfterSeconds?: number;
+  }
+  | {
+    event: "answer-cut";
+    request: string;
+    server: string;
+    elapsedMilliseconds: number;
+  }
+  | {
+    event: "caller-left";
+    request: string;
+    attempts: number;
+    elapsedMilliseconds: number;
+  }
+  | {
+    event: "request-late";
+    request: string;
+    server: string;
+    attempts: number;
+    elapsedMilliseconds: number;
+    objectiveMilliseconds: number;
+  }
+  | {
+    event: "traffic";
+    answered: number;
+    late: number;
+    refused: number;
+    failed: number;
+  }
+  | {
+    event: "crash-suspected";
+    fingerprint: string;
+    server: string;
+    from: string;
+  }
+  | { event: "discovery-item-refused"; key: string; detail: string }
+  | { event: "peer-message-refused"; peer: string; detail: string };
+
+export type WriteEvent = (event: GatewayEvent) => void;
+
+/** Binds the union to a log. */
+export function eventWriter(log: EventLog): WriteEvent {
+  return ({ event, ...fields }) => log.write(event, fields as EventFields);
+}
--- /dev/null
+++ b/packages/gateway/src/fleet.ts
@@ -0,0 +1,171 @@
+/**
+ * Membership: who tells whom, and how often.
+ *
+ * Each interval an entry passes its records to one random peer of its own
+ * failure domain and to one of all, so that the messages of an entry do not
+ * grow with the fleet. Changes of its own state are told to everyone at once.
+ */
+import {
+  FleetMembers,
+  type MemberRecord,
+  type MembershipChange,
+} from "@marigoldford/kernel/fleet_members";
+import type {
+  Address,
+  Clock,
+  EntryState,
+  RandomSource,
+} from "@marigoldford/kernel/types";
+import type { DatagramPort } from "./datagram_port.ts";
+import type { WriteEvent } from "./events.ts";
+import type { DiscoveryNews, FleetDatagram } from "./fleet_messages.ts";
+
+export type FleetOptions = {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly self: Omit<MemberRecord, "counter" | "state">;
+  /** Datagram addresses of seeds. */
+  readonly seeds: readonly Address[];
+  readonly port: DatagramPort;
+  readonly news: () => DiscoveryNews;
+  readonly writeEvent: WriteEvent;
+};
+
+type MembersDatagram = Extract<FleetDatagram, { kind: "members" }>;
+
+const GOSSIP_MILLISECONDS = 400;
+/** While nobody is known seeds are asked this often. */
+const SEED_MILLISECONDS = 150;
+/** Later they are asked at times, to mend a split. */
+const SEED_EVERY_ROUNDS = 8;
+/** Several rounds of gossip; callers retry elsewhere sooner. */
+const SILENCE_MILLISECONDS = 2_500;
+const FORGET_MILLISECONDS = 12_000;
+/** Records in one datagram; it stays below a usual packet. */
+const MOST_RECORDS = 24;
+/** A farewell is repeated, as datagrams may be lost. */
+const FAREWELLS = 3;
+
+export class Fleet {
+  readonly members: FleetMembers;
+  readonly #options: FleetOptions;
+  #state: EntryState = "starting";
+  #counter = 1;
+  #round = 0;
+  #timer: ReturnType<typeof setTimeout> | undefined;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.members = new FleetMembers({
+      clock: options.clock,
+      self: () => this.#record(),
+      silenceMilliseconds: SILENCE_MILLISECONDS,
+      forgetMilliseconds: FORGET_MILLISECONDS,
+    });
+  }
+
+  get state(): EntryState {
+    return this.#state;
+  }
+
+  start(): void {
+    this.#turn();
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer);
+  }
+
+  /** Enters a state and tells every peer. */
+  enter(state: EntryState): void {
+    this.#state = state;
+    this.#counter += 1;
+    const everyone = this.members.alivePeers().map((peer) =>
+      peer.datagramAddress
+    );
+    const repeats = state === "leaving" || state === "stopped" ? FAREWELLS : 1;
+    for (let count = 0; count < repeats; count++) {
+      this.#send(everyone, [this.#record()], false);
+    }
+  }
+
+  take(datagram: MembersDatagram, sender: Address): void {
+    this.#log(this.members.note(datagram.records));
+    if (!datagram.wantsReply) return;
+    this.#send([sender], this.#records(), false);
+  }
+
+  #record(): MemberRecord {
+    return {
+      ...this.#options.self,
+      state: this.#state,
+      counter: this.#counter,
+    };
+  }
+
+  #turn(): void {
+    this.#round += 1;
+    this.#counter += 1;
+    this.#log(this.members.sweep());
+    const peers = this.members.alivePeers();
+    const isAlone = peers.length === 0;
+    if (isAlone || this.#round % SEED_EVERY_ROUNDS === 0) this.#askSeeds();
+    this.#send(this.#pick(peers), this.#records(), false);
+    const pause = isAlone ? SEED_MILLISECONDS : GOSSIP_MILLISECONDS;
+    const jitter = 0.8 + this.#options.random() * 0.4;
+    this.#timer = setTimeout(() => this.#turn(), pause * jitter);
+  }
+
+  #askSeeds(): void {
+    const own = this.#options.self.datagramAddress;
+    const seeds = this.#options.seeds.filter((seed) => seed !== own);
+    this.#send(seeds, [this.#record()], true);
+  }
+
+  #pick(peers: readonly MemberRecord[]): Address[] {
+    const domain = this.#options.self.failureDomain;
+    const near = peers.filter(({ failureDomain }) => failureDomain === domain);
+    const picked = new Set<Address>();
+    for (const group of [near, peers]) {
+      if (group.length === 0) continue;
+      const index = Math.floor(this.#options.random() * group.length);
+      picked.add(group[index].datagramAddress);
+    }
+    return [...picked];
+  }
+
+  /** Own record first, then a random part of the live ones. */
+  #records(): MemberRecord[] {
+    const peers = this.members.alivePeers();
+    for (let index = peers.length - 1; index > 0; index--) {
+      const other = Math.floor(this.#options.random() * (index + 1));
+      [peers[index], peers[other]] = [peers[other], peers[index]];
+    }
+    return [this.#record(), ...peers.slice(0, MOST_RECORDS - 1)];
+  }
+
+  #send(
+    to: readonly Address[],
+    records: readonly MemberRecord[],
+    wantsReply: boolean,
+  ): void {
+    this.#options.port.send(to, {
+      kind: "members",
+      from: this.#options.self.incarnation,
+      records,
+      news: this.#options.news(),
+      wantsReply,
+    });
+  }
+
+  #log(changes: readonly MembershipChange[]): void {
+    for (const { kind, record } of changes) {
+      this.#options.writeEvent({
+        event: "entry-changed",
+        entry: record.callAddress,
+        change: kind,
+        state: record.state,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet_messages.ts
@@ -0,0 +1,108 @@
+/**
+ * Messages between entries, encoded with `cbor-x`: small ones in datagrams,
+ * larger ones in frames over TCP. What cannot be read is refused as a whole.
+ */
+import type { Buffer } from "node:buffer";
+import { decode, encode } from "cbor-x";
+import { err, ok, type Result } from "neverthrow";
+import type {
+  DiscoveryChange,
+  DiscoveryReading,
+} from "@marigoldford/kernel/discovery_state";
+import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
+
+/** How complete the sender's discovery state is. */
+export type DiscoveryNews = {
+  readonly revision: number;
+  /** Time since the state was known to be complete. */
+  readonly ageMilliseconds: number;
+};
+
+export type FleetDatagram =
+  | {
+    readonly kind: "members";
+    readonly from: string;
+    readonly records: readonly MemberRecord[];
+    readonly news: DiscoveryNews;
+    /** Asks the receiver to answer with what it knows. */
+    readonly wantsReply: boolean;
+  }
+  | {
+    readonly kind: "news";
+    readonly from: string;
+    readonly news: DiscoveryNews;
+    readonly counter: number;
+  }
+  | {
+    readonly kind: "load";
+    readonly from: string;
+    /** See `load_block.ts`. */
+    readonly inFlight: Uint8Array;
+    readonly reports: Uint8Array;
+    /** Whether the receiver passes it on in its failure domain. */
+    readonly isForDomain: boolean;
+  }
+  | {
+    readonly kind: "crash";
+    readonly from: string;
+    readonly fingerprint: string;
+    readonly server: string;
+  };
+
+export type FleetFrame =
+  | {
+    readonly kind: "changes";
+    readonly baseRevision: number;
+    readonly revision: number;
+    readonly changes: readonly DiscoveryChange[];
+    readonly ageMilliseconds: number;
+  }
+  | { readonly kind: "reading-request" }
+  | {
+    readonly kind: "reading";
+    readonly reading: DiscoveryReading;
+    readonly ageMilliseconds: number;
+  };
+
+export type MessageUnreadable = {
+  readonly kind: "message-unreadable";
+  readonly detail: string;
+};
+
+const DATAGRAM_KINDS = new Set(["members", "news", "load", "crash"]);
+const FRAME_KINDS = new Set(["changes", "reading-request", "reading"]);
+
+export function encodeFleetMessage(
+  message: FleetDatagram | FleetFrame,
+): Buffer {
+  return encode(message);
+}
+
+export function decodeDatagram(
+  bytes: Uint8Array,
+): Result<FleetDatagram, MessageUnreadable> {
+  return decodeKind(bytes, DATAGRAM_KINDS).map((value) =>
+    value as FleetDatagram
+  );
+}
+
+export function decodeFleetFrame(
+  bytes: Uint8Array,
+): Result<FleetFrame, MessageUnreadable> {
+  return decodeKind(bytes, FRAME_KINDS).map((value) => value as FleetFrame);
+}
+
+function decodeKind(
+  bytes: Uint8Array,
+  kinds: ReadonlySet<string>,
+): Result<unknown, MessageUnreadable> {
+  let value: unknown;
+  try {
+    value = decode(bytes);
+  } catch (error) {
+    return err({ kind: "message-unreadable", detail: String(error) });
+  }
+  const kind = (value as { kind?: unknown } | null)?.kind;
+  if (typeof kind === "string" && kinds.has(kind)) return ok(value);
+  return err({ kind: "message-unreadable", detail: `kind ${String(kind)}` });
+}
--- /dev/null
+++ b/packages/gateway/src/front_server.ts
@@ -0,0 +1,83 @@
+/**
+ * The HTTP server for callers, and how it stops without cutting a request.
+ */
+import { createServer, type Server } from "node:http";
+import { splitAddress } from "@marigoldford/kernel/address";
+import type { RequestLimits } from "@marigoldford/kernel/routing_snapshot";
+import type { Address, Clock } from "@marigoldford/kernel/types";
+import type { ExchangeContext } from "./exchange_context.ts";
+import { RequestExchange } from "./request_exchange.ts";
+
+/** Larger heads are refused with 431 by Node. */
+const MAXIMUM_HEADER_BYTES = 32 * 1024;
+/** Callers reuse connections for most of the idle time-out, never past it. */
+const IDLE_MARGIN_MILLISECONDS = 1_000;
+const CHECK_CONNECTIONS_MILLISECONDS = 1_000;
+const DEFAULT_IDLE_MILLISECONDS = 60_000;
+const BACKLOG = 1_024;
+
+export class FrontServer {
+  readonly #server: Server;
+  readonly #clock: Clock;
+  #inProgress = 0;
+  #lastRequestAt = -Infinity;
+
+  constructor(context: ExchangeContext) {
+    this.#clock = context.clock;
+    this.#server = createServer({
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+      noDelay: true,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_MILLISECONDS,
+      keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
+    }, (request, response) => {
+      this.#inProgress += 1;
+      this.#lastRequestAt = this.#clock();
+      response.sendDate = false;
+      const exchange = new RequestExchange(context, request, response);
+      exchange.start(() => this.#inProgress -= 1);
+    });
+    this.#server.on("checkContinue", (request, response) => {
+      response.writeContinue();
+      this.#server.emit("request", request, response);
+    });
+  }
+
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  /** Time since the last request arrived. */
+  get quietMilliseconds(): number {
+    return this.#clock() - this.#lastRequestAt;
+  }
+
+  open(address: Address): Promise<void> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** A longer idle time counts at once; connections keep theirs. */
+  setLimits(limits: RequestLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds +
+      IDLE_MARGIN_MILLISECONDS;
+  }
+
+  /** Stops listening and closes connections that carry no request. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  closeAll(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,593 @@
+/**
+ * Builds one gateway entry from its parts and owns their life cycle.
+ */
+import { createHash, randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import * as Data from "effect/Data";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import { splitAddress } from "@marigoldford/kernel/address";
+import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
+import { entriesForCaller } from "@marigoldford/kernel/entry_answer";
+import { FleetBudget } from "@marigoldford/kernel/fleet_budget";
+import { PauseDetector } from "@marigoldford/kernel/pause_detector";
+import { Quarantine } from "@marigoldford/kernel/quarantine";
+import { RouteWork } from "@marigoldford/kernel/route_work";
+import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
+import type { ServerLoad } from "@marigoldford/kernel/server_load";
+import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
+import type { Address, ServiceName } from "@marigoldford/kernel/types";
+import { EventLog } from "@marigoldford/logger/event_log";
+import type { CallerProtocol } from "./caller_protocol.ts";
+import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
+import { DatagramPort } from "./datagram_port.ts";
+import { DiscoveryKeeper } from "./discovery_keeper.ts";
+import type { DiscoverySource } from "./discovery_source.ts";
+import { eventWriter, type WriteEvent } from "./events.ts";
+import type { ExchangeContext } from "./exchange_context.ts";
+import { Fleet } from "./fleet.ts";
+import type { FleetDatagram, FleetFrame } from "./fleet_messages.ts";
+import { FrameLinks, type FrameReply } from "./frame_links.ts";
+import { FrontServer } from "./front_server.ts";
+import { LoadExchange } from "./load_exchange.ts";
+import { GatewayMetrics } from "./metrics.ts";
+import type { GatewayOptions } from "./options.ts";
+import { DISCOVERY_SOURCES, SIDE_PORTS, type SidePort } from "./plug_ins.ts";
+import { Prober } from "./prober.ts";
+import { ServerTable } from "./server_table.ts";
+import "./metrics_port.ts";
+
+/** The gateway could not start. */
+export class GatewayStartFailure
+  extends Data.TaggedError("GatewayStartFailure")<{
+    readonly message: string;
+  }> {}
+
+export type GatewayHandle = {
+  /** Leaves without cutting a request; resolves when the process may end. */
+  readonly leave: () => Promise<void>;
+  readonly noteReload: (outcome: string) => void;
+};
+
+/** Tuning that does not depend on where the gateway runs. */
+const TUNING = {
+  /** A packet lost on the way in would be sent again after a second. */
+  connectTimeoutMilliseconds: 250,
+  /** Backend servers are seen to keep idle connections for ten seconds. */
+  idleMilliseconds: 4_000,
+  maximumSockets: 64,
+  crossing: { roundTripMilliseconds: 3, objectivesForMegabyte: 10 },
+  probe: { intervalMilliseconds: 90, timeoutMilliseconds: 400 },
+  load: { nearIntervalMilliseconds: 15, farIntervalMilliseconds: 100 },
+  discovery: {
+    watchers: 2,
+    watchWaitMilliseconds: 1_000,
+    gatherMilliseconds: 200,
+    newsBoundMilliseconds: 1_250,
+    returnMilliseconds: 2_300,
+  },
+  /** Crashes of different servers after which a request is not sent again. */
+  crashesToQuarantine: 3,
+  quarantineMilliseconds: 60_000,
+  maximumSuspects: 10_000,
+  linesPerSecond: 20,
+  meshSilenceMilliseconds: 60_000,
+} as const;
+
+const HOUSEKEEPING_MILLISECONDS = 100;
+const PAUSE_MILLISECONDS = 600;
+const TRAFFIC_LINE_MILLISECONDS = 5_000;
+const READING_REQUEST_MILLISECONDS = 200;
+const MILLISECONDS_IN_SECOND = 1_000;
+/** Requests that arrive this late in the grace period are sent elsewhere. */
+const LAST_REQUESTS_MILLISECONDS = 1_800;
+/** The process ends this long before it would be killed. */
+const END_MARGIN_MILLISECONDS = 500;
+/** A leaving entry with no request for this long has lost its callers. */
+const QUIET_MILLISECONDS = 500;
+/** Callers keep an answer of the directory at least this long. */
+const LEAST_LEAVE_MILLISECONDS = 3_000;
+const LEAVE_CHECK_MILLISECONDS = 25;
+
+/** Starts a gateway; closing the scope stops it at once. */
+export function startGateway(
+  options: GatewayOptions,
+): Effect.Effect<GatewayHandle, GatewayStartFailure, Scope.Scope> {
+  return Effect.gen(function* () {
+    const protocol = CALLER_PROTOCOLS.find(options.protocol);
+    const source = DISCOVERY_SOURCES.find(options.discovery.source);
+    if (protocol.isErr() || source.isErr()) {
+      const { given, known } = protocol.isErr()
+        ? protocol.error
+        : source._unsafeUnwrapErr();
+      const message = `Plug-in "${given}" is unknown; expected one of ` +
+        known.join(", ");
+      return yield* Effect.fail(new GatewayStartFailure({ message }));
+    }
+    const log = new EventLog({
+      clock: () => performance.now(),
+      timeOfDay: () => Date.now(),
+      linesPerSecond: TUNING.linesPerSecond,
+    });
+    const writeEvent = eventWriter(log);
+    const gateway = new Gateway(options, {
+      protocol: protocol.value,
+      source: source.value({ writeEvent }, options.discovery),
+      writeEvent,
+    });
+    yield* Effect.acquireRelease(
+      Effect.tryPromise({
+        try: () => gateway.start(),
+        catch: (error) => new GatewayStartFailure({ message: String(error) }),
+      }),
+      () => Effect.sync(() => gateway.stop()),
+    );
+    return {
+      leave: () => gateway.leave(),
+      noteReload: (outcome: string) => writeEvent({ event: "reload", outcome }),
+    };
+  });
+}
+
+type GatewayParts = {
+  readonly protocol: CallerProtocol;
+  readonly source: DiscoverySource;
+  readonly writeEvent: WriteEvent;
+};
+
+class Gateway {
+  readonly #options: GatewayOptions;
+  readonly #writeEvent: WriteEvent;
+  readonly #clock = () => performance.now();
+  readonly #incarnation = randomBytes(6).toString("hex");
+  readonly #metrics = new GatewayMetrics();
+  readonly #router = new SnapshotRouter(Math.random);
+  readonly #budgets = new Map<ServiceName, FleetBudget>();
+  readonly #works = new Map<string, RouteWork>();
+  readonly #servers: ServerTable;
+  readonly #port: DatagramPort;
+  readonly #links: FrameLinks;
+  readonly #keeper: DiscoveryKeeper;
+  readonly #fleet: Fleet;
+  readonly #load: LoadExchange;
+  readonly #prober: Prober;
+  readonly #front: FrontServer;
+  readonly #quarantine: Quarantine;
+  readonly #pauses: PauseDetector;
+  readonly #sidePorts: SidePort[];
+  readonly #timers: ReturnType<typeof setInterval>[] = [];
+  readonly #startedAt = performance.now();
+  #readingAskedAt = -Infinity;
+  #leaveAt = Infinity;
+  #newsCounter = 0;
+  #timeOfDayOffset = Date.now() - performance.now();
+
+  constructor(options: GatewayOptions, parts: GatewayParts) {
+    this.#options = options;
+    this.#writeEvent = parts.writeEvent;
+    const clock = this.#clock;
+    const { instance } = options;
+    this.#servers = new ServerTable({ clock, ...TUNING });
+    this.#quarantine = new Quarantine({
+      clock,
+      crashesToQuarantine: TUNING.crashesToQuarantine,
+      keepMilliseconds: TUNING.quarantineMilliseconds,
+      maximumSuspects: TUNING.maximumSuspects,
+    });
+    this.#pauses = new PauseDetector(clock, PAUSE_MILLISECONDS);
+    this.#port = new DatagramPort({
+      address: instance.datagramAddress,
+      onDatagram: (datagram, sender) => this.#onDatagram(datagram, sender),
+      onUnreadable: (peer, { detail }) => this.#refusePeer(peer, detail),
+      onSendFailure: () => this.#metrics.count("datagrams_unsent"),
+    });
+    this.#links = new FrameLinks({
+      listenAddress: instance.meshAddress,
+      silenceMilliseconds: TUNING.meshSilenceMilliseconds,
+      onFrame: (frame, reply) => this.#onFrame(frame, reply),
+      onRefused: (peer, detail) => this.#refusePeer(peer, detail),
+    });
+    this.#fleet = this.#makeFleet();
+    this.#keeper = new DiscoveryKeeper({
+      source: parts.source,
+      clock,
+      random: Math.random,
+      settings: TUNING.discovery,
+      self: this.#incarnation,
+      members: () =>
+        this.#fleet.members.alive().filter(({ state }) => state !== "leaving")
+          .map(({ incarnation }) => incarnation),
+      onChange: (changes) => this.#onDiscovery(changes),
+      onAnswer: (answer) => this.#tellPeers(answer),
+      writeEvent: this.#writeEvent,
+      onCall: (outcome) =>
+        this.#metrics.count(`discovery_calls_${outcome.replaceAll("-", "_")}`),
+    });
+    this.#load = new LoadExchange({
+      self: this.#incarnation,
+      failureDomain: instance.failureDomain,
+      clock,
+      settings: TUNING.load,
+      port: this.#port,
+      servers: this.#servers,
+      peers: () => this.#fleet.members.alivePeers(),
+    });
+    this.#prober = new Prober({
+      self: this.#incarnation,
+      clock,
+      settings: TUNING.probe,
+      protocol: parts.protocol,
+      servers: this.#servers,
+      members: () =>
+        this.#fleet.members.alive().filter(({ state }) => state !== "leaving"),
+      healthPathOf: (service) => this.#router.service(service)?.healthPath,
+      onReport: (server) => this.#load.noteReport(server),
+      onProbe: () => this.#metrics.count("probes"),
+    });
+    this.#front = new FrontServer(this.#exchangeContext(parts.protocol));
+    this.#sidePorts = this.#makeSidePorts();
+  }
+
+  async start(): Promise<void> {
+    const { instance } = this.#options;
+    this.#writeEvent({
+      event: "start",
+      entry: instance.name,
+      incarnation: this.#incarnation,
+      domain: instance.failureDomain,
+    });
+    await Promise.all([
+      this.#port.open(),
+      this.#links.open(),
+      this.#front.open(instance.callAddress),
+      ...this.#sidePorts.map((port) => port.open()),
+    ]);
+    this.#fleet.start();
+    this.#keeper.start();
+    this.#load.start();
+    this.#prober.start();
+    this.#every(HOUSEKEEPING_MILLISECONDS, () => this.#housekeep());
+    this.#every(TRAFFIC_LINE_MILLISECONDS, () => this.#writeTraffic());
+  }
+
+  stop(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#keeper.stop();
+    this.#load.stop();
+    this.#prober.stop();
+    this.#fleet.stop();
+    for (const port of this.#sidePorts) port.close();
+    this.#front.closeAll();
+    this.#links.close();
+    this.#port.close();
+    this.#servers.close();
+  }
+
+  /** Serves on while callers still come, then stops listening and ends. */
+  async leave(): Promise<void> {
+    if (Number.isFinite(this.#leaveAt)) return;
+    this.#leaveAt = this.#clock();
+    this.#writeEvent({
+      event: "stop-requested",
+      inProgress: this.#front.inProgress,
+    });
+    this.#fleet.enter("leaving");
+    const endAt = this.#leaveAt + this.#graceMilliseconds -
+      END_MARGIN_MILLISECONDS;
+    while (this.#clock() < endAt && !this.#hasLostItsCallers()) {
+      await sleep(LEAVE_CHECK_MILLISECONDS);
+    }
+    this.#front.stopListening();
+    while (this.#clock() < endAt && this.#front.inProgress > 0) {
+      await sleep(LEAVE_CHECK_MILLISECONDS);
+    }
+    this.#fleet.enter("stopped");
+    this.#writeEvent({
+      event: "stop",
+      inProgress: this.#front.inProgress,
+      reason: "asked to stop",
+    });
+    await sleep(LEAVE_CHECK_MILLISECONDS);
+  }
+
+  get #graceMilliseconds(): number {
+    return this.#options.bounds.graceSeconds * MILLISECONDS_IN_SECOND;
+  }
+
+  get #sinceLeave(): number {
+    return this.#clock() - this.#leaveAt;
+  }
+
+  #hasLostItsCallers(): boolean {
+    return this.#sinceLeave > LEAST_LEAVE_MILLISECONDS &&
+      this.#front.inProgress === 0 &&
+      this.#front.quietMilliseconds > QUIET_MILLISECONDS;
+  }
+
+  #every(milliseconds: number, action: () => void): void {
+    this.#timers.push(setInterval(action, milliseconds));
+  }
+
+  #makeFleet(): Fleet {
+    const { instance, seeds } = this.#options;
+    const { port } = splitAddress(instance.datagramAddress);
+    return new Fleet({
+      clock: this.#clock,
+      random: Math.random,
+      self: {
+        incarnation: this.#incarnation,
+        callAddress: instance.callAddress,
+        meshAddress: instance.meshAddress,
+        datagramAddress: instance.datagramAddress,
+        failureDomain: instance.failureDomain,
+      },
+      seeds: seeds.map((seed) => `${splitAddress(seed).host}:${port}`),
+      port: this.#port,
+      news: () => this.#keeper.news,
+      writeEvent: this.#writeEvent,
+    });
+  }
+
+  #makeSidePorts(): SidePort[] {
+    const view = {
+      isReady: () => this.#fleet.state === "serving",
+      entriesFor: (failureDomain: string | undefined): Address[] =>
+        entriesForCaller(this.#fleet.members.alive(), failureDomain),
+      metricsText: () => this.#metricsText(),
+    };
+    return SIDE_PORTS.names().map((name) =>
+      SIDE_PORTS.find(name)._unsafeUnwrap()(view, this.#options)
+    );
+  }
+
+  #exchangeContext(protocol: CallerProtocol): ExchangeContext {
+    return {
+      clock: this.#clock,
+      random: Math.random,
+      failureDomain: this.#options.instance.failureDomain,
+      crossing: TUNING.crossing,
+      connectTimeoutMilliseconds: TUNING.connectTimeoutMilliseconds,
+      protocol,
+      router: this.#router,
+      servers: this.#servers,
+      metrics: this.#metrics,
+      writeEvent: this.#writeEvent,
+      budgetOf: (service) => this.#budgetOf(service),
+      workOf: (route) => this.#workOf(route),
+      isReady: () => this.#fleet.state !== "starting",
+      isAccepting: () =>
+        !(this.#sinceLeave >
+          this.#graceMilliseconds - LAST_REQUESTS_MILLISECONDS),
+      keepsConnections: () => !Number.isFinite(this.#leaveAt),
+      isQuarantined: (fingerprint) =>
+        this.#quarantine.size > 0 &&
+        this.#quarantine.isQuarantined(digest(fingerprint)),
+      onInFlightChange: (server) => this.#load.noteInFlight(server),
+      onReport: (server) => this.#load.noteReport(server),
+      onBroken: (fingerprint, server) =>
+        this.#noteCrash(digest(fingerprint), server),
+    };
+  }
+
+  #budgetOf(service: ServiceName): FleetBudget {
+    let budget = this.#budgets.get(service);
+    if (budget !== undefined) return budget;
+    const { retryShare, retryAllowance, retryWindowSeconds } =
+      this.#options.bounds;
+    budget = new FleetBudget({
+      clock: this.#clock,
+      share: retryShare,
+      allowance: retryAllowance,
+      windowMilliseconds: retryWindowSeconds * MILLISECONDS_IN_SECOND,
+      members: () => this.#fleet.members.budgetDivisor(),
+    });
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+
+  #workOf(route: SnapshotRoute): RouteWork {
+    let work = this.#works.get(route.name);
+    if (work === undefined) {
+      work = new RouteWork(route.kind === "download");
+      this.#works.set(route.name, work);
+    }
+    return work;
+  }
+
+  #onDiscovery(changes: readonly DiscoveryChange[]): void {
+    this.#servers.sync(this.#keeper.state);
+    this.#prober.reassign();
+    for (const change of changes) this.#logChange(change);
+    const { snapshot } = this.#keeper.state;
+    if (snapshot !== undefined && this.#router.adopt(snapshot)) {
+      this.#front.setLimits(snapshot.limits);
+      this.#writeEvent({
+        event: "configuration-adopted",
+        version: snapshot.version,
+        from: this.#keeper.isWatching ? "service" : "peer",
+        routes: snapshot.routes.length,
+      });
+    }
+    if (snapshot === undefined || this.#servers.size === 0) return;
+    if (this.#fleet.state !== "starting") return;
+    this.#fleet.enter("serving");
+    this.#writeEvent({
+      event: "ready",
+      version: snapshot.version,
+      servers: this.#servers.size,
+      afterMilliseconds: Math.round(this.#clock() - this.#startedAt),
+    });
+  }
+
+  #logChange(change: DiscoveryChange): void {
+    if (change.kind === "snapshot") return;
+    const from = this.#keeper.isWatching ? "service" : "peer";
+    if (change.kind === "gone") {
+      this.#writeEvent({
+        event: "server-changed",
+        server: change.id,
+        change: change.reason,
+        from,
+        revision: change.revision,
+      });
+      return;
+    }
+    const { id, service, state } = change.registration;
+    this.#writeEvent({
+      event: "server-changed",
+      server: id,
+      service,
+      change: state,
+      from,
+      revision: change.revision,
+    });
+  }
+
+  #tellPeers(
+    answer: {
+      baseRevision: number;
+      revision: number;
+      changes: readonly DiscoveryChange[];
+    },
+  ): void {
+    const peers = this.#fleet.members.alivePeers();
+    if (answer.changes.length === 0) {
+      this.#newsCounter += 1;
+      this.#port.send(peers.map(({ datagramAddress }) => datagramAddress), {
+        kind: "news",
+        from: this.#incarnation,
+        news: this.#keeper.news,
+        counter: this.#newsCounter,
+      });
+      return;
+    }
+    for (const { meshAddress } of peers) {
+      this.#links.send(meshAddress, {
+        kind: "changes",
+        ...answer,
+        ageMilliseconds: 0,
+      });
+    }
+  }
+
+  #onDatagram(datagram: FleetDatagram, sender: Address): void {
+    if (datagram.from === this.#incarnation) return;
+    switch (datagram.kind) {
+      case "members":
+        this.#fleet.take(datagram, sender);
+        this.#takeNews(datagram.news, sender);
+        return;
+      case "news":
+        this.#takeNews(datagram.news, sender);
+        return;
+      case "load":
+        this.#load.take(datagram);
+        return;
+      case "crash":
+        this.#quarantine.note({
+          fingerprint: datagram.fingerprint,
+          address: datagram.server,
+        });
+        return;
+    }
+  }
+
+  #takeNews(
+    news: { revision: number; ageMilliseconds: number },
+    sender: Address,
+  ): void {
+    if (this.#keeper.takeNews(news)) return;
+    const now = this.#clock();
+    if (now - this.#readingAskedAt < READING_REQUEST_MILLISECONDS) return;
+    this.#readingAskedAt = now;
+    const { port } = splitAddress(this.#options.instance.meshAddress);
+    const { host } = splitAddress(sender);
+    this.#links.send(`${host}:${port}`, { kind: "reading-request" });
+  }
+
+  #onFrame(frame: FleetFrame, reply: FrameReply): void {
+    switch (frame.kind) {
+      case "changes":
+        if (!this.#keeper.takeChanges(frame, frame.ageMilliseconds)) {
+          reply({ kind: "reading-request" });
+        }
+        return;
+      case "reading-request": {
+        const { ageMilliseconds } = this.#keeper.news;
+        const reading = this.#keeper.state.reading();
+        reply({ kind: "reading", reading, ageMilliseconds });
+        return;
+      }
+      case "reading":
+        this.#keeper.takeReading(frame.reading, frame.ageMilliseconds);
+        return;
+    }
+  }
+
+  #refusePeer(peer: string, detail: string): void {
+    this.#writeEvent({ event: "peer-message-refused", peer, detail });
+  }
+
+  #noteCrash(fingerprint: string, server: ServerLoad): void {
+    const { id, address } = server.registration;
+    if (!this.#quarantine.note({ fingerprint, address })) return;
+    this.#writeEvent({
+      event: "crash-suspected",
+      fingerprint,
+      server: id,
+      from: "own attempt",
+    });
+    this.#port.send(
+      this.#fleet.members.alivePeers().map((peer) => peer.datagramAddress),
+      {
+        kind: "crash",
+        from: this.#incarnation,
+        fingerprint,
+        server: address,
+      },
+    );
+  }
+
+  #housekeep(): void {
+    this.#keeper.sweep();
+    if (!this.#pauses.noteTurn() && !this.#hasTimeOfDayJumped()) return;
+    this.#writeEvent({
+      event: "pause-noticed",
+      milliseconds: PAUSE_MILLISECONDS,
+    });
+    this.#keeper.expire();
+  }
+
+  /** The steady clock stands still while the instance is suspended. */
+  #hasTimeOfDayJumped(): boolean {
+    const offset = Date.now() - performance.now();
+    const jump = Math.abs(offset - this.#timeOfDayOffset);
+    this.#timeOfDayOffset = offset;
+    return jump > PAUSE_MILLISECONDS;
+  }
+
+  #writeTraffic(): void {
+    this.#writeEvent({
+      event: "traffic",
+      answered: this.#metrics.outcome("answered"),
+      late: this.#metrics.outcome("late"),
+      refused: this.#metrics.outcome("refused"),
+      failed: this.#metrics.outcome("failed"),
+    });
+  }
+
+  #metricsText(): string {
+    return this.#metrics.text({
+      requests_in_progress: this.#front.inProgress,
+      servers: this.#servers.size,
+      peers: this.#fleet.members.alivePeers().length,
+      configuration_version: this.#router.snapshot?.version ?? 0,
+      discovery_revision: this.#keeper.state.revision,
+      discovery_news_age_milliseconds: this.#keeper.news.ageMilliseconds,
+    });
+  }
+}
+
+function digest(text: string): string {
+  return createHash("sha1").update(text).digest("hex").slice(0, 16);
+}
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,105 @@
+/**
+ * Counters and latency histograms of an entry, as text that scrapers read.
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+
+type Outcome =
+  | "answered"
+  | "late"
+  | "refused"
+  | "failed"
+  | "cut"
+  | "caller-left";
+
+const PERCENTILES = [50, 90, 99, 99.9];
+const HIGHEST_MILLISECONDS = 60_000;
+const PREFIX = "marigoldford";
+/** Routes beyond this share one histogram, so that a page stays small. */
+const MOST_ROUTES = 50;
+const OTHER_ROUTES = "other";
+
+export class GatewayMetrics {
+  readonly #outcomes = new Map<Outcome, number>();
+  readonly #attemptFailures = new Map<string, number>();
+  readonly #counters = new Map<string, number>();
+  readonly #latency = new Map<string, Histogram>();
+
+  noteAnswer(
+    route: string,
+    milliseconds: number,
+    answer: { isLate: boolean; status: number },
+  ): void {
+    this.noteOutcome("answered");
+    if (answer.isLate) this.noteOutcome("late");
+    this.#histogramOf(route).recordValue(
+      Math.min(HIGHEST_MILLISECONDS, Math.max(1, Math.round(milliseconds))),
+    );
+  }
+
+  noteOutcome(outcome: Outcome): void {
+    this.#outcomes.set(outcome, this.outcome(outcome) + 1);
+  }
+
+  outcome(outcome: Outcome): number {
+    return this.#outcomes.get(outcome) ?? 0;
+  }
+
+  noteAttemptFailure(evidence: string): void {
+    const known = this.#attemptFailures.get(evidence) ?? 0;
+    this.#attemptFailures.set(evidence, known + 1);
+  }
+
+  count(name: string, amount = 1): void {
+    this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
+  }
+
+  /** The page, with gauges read at the moment. */
+  text(gauges: Readonly<Record<string, number>>): string {
+    const lines: string[] = [];
+    for (const [outcome, count] of this.#outcomes) {
+      lines.push(`${PREFIX}_requests_total{outcome="${outcome}"} ${count}`);
+    }
+    for (const [evidence, count] of this.#attemptFailures) {
+      lines.push(
+        `${PREFIX}_attempt_failures_total{evidence="${evidence}"} ${count}`,
+      );
+    }
+    for (const [name, count] of this.#counters) {
+      lines.push(`${PREFIX}_${name}_total ${count}`);
+    }
+    for (const [name, value] of Object.entries(gauges)) {
+      lines.push(`${PREFIX}_${name} ${value}`);
+    }
+    for (const [route, histogram] of this.#latency) {
+      lines.push(...latencyLines(route, histogram));
+    }
+    return lines.join("\n") + "\n";
+  }
+
+  #histogramOf(route: string): Histogram {
+    const name = this.#latency.has(route) || this.#latency.size < MOST_ROUTES
+      ? route
+      : OTHER_ROUTES;
+    let histogram = this.#latency.get(name);
+    if (histogram === undefined) {
+      histogram = build({
+        highestTrackableValue: HIGHEST_MILLISECONDS,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.#latency.set(name, histogram);
+    }
+    return histogram;
+  }
+}
+
+function latencyLines(route: string, histogram: Histogram): string[] {
+  const lines = PERCENTILES.map((percentile) => {
+    const labels = `route="${route}",quantile="${percentile / 100}"`;
+    const value = histogram.getValueAtPercentile(percentile);
+    return `${PREFIX}_request_milliseconds{${labels}} ${value}`;
+  });
+  lines.push(
+    `${PREFIX}_request_milliseconds_count{route="${route}"} ${histogram.totalCount}`,
+  );
+  return lines;
+}
--- /dev/null
+++ b/packages/gateway/src/server_attempt.ts
@@ -0,0 +1,285 @@
+/**
+ * One attempt of a request at one backend server.
+ *
+ * The attempt checks that the answer belongs to the request and is whole, and
+ * ends with exactly one piece of evidence. Small answers are collected before
+ * they are handed on, so that a broken one can still be replaced; larger ones
+ * are handed on while they arrive.
+ */
+import { Buffer } from "node:buffer";
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
+import { splitAddress } from "@marigoldford/kernel/address";
+import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
+import type { ServerLoad } from "@marigoldford/kernel/server_load";
+import { type CallerProtocol, headerText } from "./caller_protocol.ts";
+import {
+  hasSocketFailed,
+  type ServerConnections,
+  watchForFailure,
+} from "./server_connections.ts";
+
+/** A body that is at hand, or one that still arrives. */
+export type RequestBody =
+  | { readonly kind: "whole"; readonly bytes: Buffer }
+  | {
+    readonly kind: "stream";
+    readonly head: readonly Buffer[];
+    readonly source: IncomingMessage;
+  };
+
+export type AttemptOptions = {
+  readonly server: ServerLoad;
+  readonly connections: ServerConnections;
+  readonly protocol: CallerProtocol;
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: RequestBody;
+  readonly connectTimeoutMilliseconds: number;
+  readonly clock: () => number;
+  readonly hooks: AttemptHooks;
+};
+
+/** A whole answer that was collected. */
+export type WholeAnswer = {
+  readonly kind: "whole";
+  readonly head: IncomingMessage;
+  readonly body: Buffer;
+};
+
+/** An answer that is too large to collect. */
+export type StreamedAnswer = {
+  readonly kind: "stream";
+  readonly head: IncomingMessage;
+  readonly chunks: readonly Buffer[];
+};
+
+export type AttemptHooks = {
+  /** The head of any answer has arrived; called before it is judged. */
+  readonly onHead: (attempt: ServerAttempt, answer: IncomingMessage) => void;
+  readonly onWhole: (attempt: ServerAttempt, answer: WholeAnswer) => void;
+  /** From here on `onChunk` and `onStreamEnd` follow. */
+  readonly onStream: (attempt: ServerAttempt, answer: StreamedAnswer) => void;
+  /** The attempt ended without a whole answer. */
+  readonly onFailure: (
+    attempt: ServerAttempt,
+    evidence: AttemptEvidence,
+  ) => void;
+};
+
+/** Answers up to this size are collected before they are handed on. */
+const COLLECTED_BYTES = 128 * 1024;
+
+type AttemptPhase = "connecting" | "sent" | "collecting" | "streaming" | "over";
+
+export class ServerAttempt {
+  readonly startedAtMilliseconds: number;
+  readonly #options: AttemptOptions;
+  readonly #request: ClientRequest;
+  #phase: AttemptPhase = "connecting";
+  #socket: Socket | undefined;
+  #connectTimer: ReturnType<typeof setTimeout> | undefined;
+  #firstByteAtMilliseconds: number | undefined;
+  /** Load at the server when the attempt was placed, for the log. */
+  readonly loadAtStart: number;
+
+  constructor(options: AttemptOptions) {
+    this.#options = options;
+    this.startedAtMilliseconds = options.clock();
+    this.loadAtStart = options.server.load(this.startedAtMilliseconds);
+    const { host, port } = splitAddress(options.server.registration.address);
+    this.#request = request({
+      host,
+      port,
+      agent: options.connections,
+      method: options.method,
+      path: options.path,
+      headers: options.headers,
+      setHost: false,
+    });
+    this.#listen();
+    this.#sendBody();
+  }
+
+  get server(): ServerLoad {
+    return this.#options.server;
+  }
+
+  get isOver(): boolean {
+    return this.#phase === "over";
+  }
+
+  /** Whether a byte of the request may have been handed to a connection. */
+  get isSent(): boolean {
+    return this.#phase !== "connecting";
+  }
+
+  get elapsedMilliseconds(): number {
+    return this.#options.clock() - this.startedAtMilliseconds;
+  }
+
+  /** Time to the head of the answer, once it has arrived. */
+  get headMilliseconds(): number | undefined {
+    if (this.#firstByteAtMilliseconds === undefined) return undefined;
+    return this.#firstByteAtMilliseconds - this.startedAtMilliseconds;
+  }
+
+  /** Ends the attempt; the server learns it by the closed connection. */
+  cancel(): void {
+    this.#fail({ kind: "cancelled" });
+  }
+
+  /** Evidence for an attempt that is ended while it may be on its way. */
+  timeOut(): void {
+    this.#fail(this.isSent ? { kind: "timed-out" } : { kind: "not-connected" });
+  }
+
+  #listen(): void {
+    const { connectTimeoutMilliseconds } = this.#options;
+    this.#connectTimer = setTimeout(
+      () => this.#fail({ kind: "not-connected" }),
+      connectTimeoutMilliseconds,
+    );
+    this.#request.on("socket", (socket) => this.#onSocket(socket));
+    this.#request.on("error", () => this.#onBroken());
+    this.#request.on("response", (answer) => this.#onAnswer(answer));
+    this.#request.on("upgrade", (_answer, socket) => {
+      socket.destroy();
+      this.#fail({ kind: "unusable-answer", why: "protocol switched" });
+    });
+  }
+
+  #onSocket(socket: Socket): void {
+    this.#socket = socket;
+    if (!socket.connecting) return this.#noteSent();
+    socket.setNoDelay(true);
+    watchForFailure(socket);
+    socket.once("connect", () => this.#noteSent());
+  }
+
+  #noteSent(): void {
+    clearTimeout(this.#connectTimer);
+    if (this.#phase === "connecting") this.#phase = "sent";
+  }
+
+  #sendBody(): void {
+    const { body } = this.#options;
+    if (body.kind === "whole") {
+      this.#request.end(body.bytes);
+      return;
+    }
+    for (const chunk of body.head) this.#request.write(chunk);
+    body.source.pipe(this.#request);
+  }
+
+  #onBroken(): void {
+    if (!this.isSent) return this.#fail({ kind: "not-connected" });
+    this.#fail({ kind: "broken", hadAnswerBegun: this.#hasAnswerBegun() });
+  }
+
+  #hasAnswerBegun(): boolean {
+    return this.#phase === "collecting" || this.#phase === "streaming";
+  }
+
+  #onAnswer(answer: IncomingMessage): void {
+    answer.on("error", () => this.#onBroken());
+    if (this.isOver) {
+      answer.destroy();
+      return;
+    }
+    this.#phase = "collecting";
+    this.#firstByteAtMilliseconds = this.#options.clock();
+    const fault = this.#faultOf(answer);
+    if (fault !== undefined) return this.#fail(fault);
+    this.#options.hooks.onHead(this, answer);
+    this.#collect(answer);
+  }
+
+  /** Why an answer cannot be handed on, judged by its head. */
+  #faultOf(answer: IncomingMessage): AttemptEvidence | undefined {
+    const { headers } = this.#options.protocol;
+    const status = answer.statusCode ?? 0;
+    const id = headerText(answer, headers.requestId);
+    const isRefusal = headerText(answer, headers.notExecuted) !== undefined;
+    if (id !== undefined && id !== this.#options.requestId) {
+      return { kind: "unusable-answer", why: "answer to another request" };
+    }
+    if (isRefusal || (status === 421 && id !== undefined)) {
+      this.#options.hooks.onHead(this, answer);
+      answer.resume();
+      return { kind: "refused-by-server", status };
+    }
+    if (status === 421) return { kind: "refused-by-server", status };
+    if (id === undefined) {
+      return { kind: "unusable-answer", why: "no request id" };
+    }
+    if (answer.headers["content-encoding"] !== undefined) {
+      return { kind: "unusable-answer", why: "encoded body" };
+    }
+    if (headerText(answer, headers.signature) === undefined) {
+      return { kind: "unusable-answer", why: `unsigned status ${status}` };
+    }
+    return undefined;
+  }
+
+  #collect(answer: IncomingMessage): void {
+    const chunks: Buffer[] = [];
+    let collected = 0;
+    answer.on("data", (chunk: Buffer) => {
+      if (this.#phase !== "collecting") return;
+      chunks.push(chunk);
+      collected += chunk.byteLength;
+      if (collected <= COLLECTED_BYTES) return;
+      this.#phase = "streaming";
+      answer.pause();
+      answer.removeAllListeners("data");
+      this.#options.hooks.onStream(this, {
+        kind: "stream",
+        head: answer,
+        chunks,
+      });
+    });
+    answer.on("end", () => this.#onEnd(answer, chunks));
+  }
+
+  #onEnd(answer: IncomingMessage, chunks: readonly Buffer[]): void {
+    if (this.#phase !== "collecting") return;
+    if (!this.isWhole(answer)) return this.#onBroken();
+    this.#finish();
+    this.#options.hooks.onWhole(this, {
+      kind: "whole",
+      head: answer,
+      body: Buffer.concat(chunks),
+    });
+  }
+
+  /** Whether an answer ended as its framing says, not by a reset. */
+  isWhole(answer: IncomingMessage): boolean {
+    const hasFailed = this.#socket !== undefined &&
+      hasSocketFailed(this.#socket);
+    return answer.complete && !hasFailed;
+  }
+
+  /** Marks a streamed answer as handed on. */
+  finishStream(): void {
+    this.#finish();
+  }
+
+  /** A request that was not sent whole leaves its connection unusable. */
+  #finish(): void {
+    this.#phase = "over";
+    if (!this.#request.writableFinished) this.#request.destroy();
+  }
+
+  #fail(evidence: AttemptEvidence): void {
+    if (this.isOver) return;
+    clearTimeout(this.#connectTimer);
+    this.#phase = "over";
+    const mayKeepConnection = evidence.kind === "refused-by-server" &&
+      this.#request.writableFinished;
+    if (!mayKeepConnection) this.#request.destroy();
+    this.#options.hooks.onFailure(this, evidence);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/server_connections.ts
@@ -0,0 +1,94 @@
+/**
+ * Connections to one run of a backend server.
+ *
+ * A connection on which bytes arrive while no request waits is destroyed: the
+ * bytes belong to no request. A connection is kept idle for less time than the
+ * server keeps it, so that a request does not cross its close.
+ */
+import { Agent } from "node:http";
+import type { Socket } from "node:net";
+
+export type ServerConnectionsOptions = {
+  readonly maximumSockets: number;
+  /** Idle connections are closed after this. */
+  readonly idleMilliseconds: number;
+};
+
+type IdleSocket = Socket & { idleSince?: number };
+type IdleHandler = () => void;
+
+const IDLE_HANDLERS = new WeakMap<Socket, IdleHandler>();
+
+const FAILED_SOCKETS = new WeakSet<Socket>();
+
+/** Remembers whether a connection ended by an error, such as a reset. */
+export function watchForFailure(socket: Socket): void {
+  socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
+}
+
+/**
+ * Whether a connection ended by an error. Node takes an answer without a
+ * length as complete at any end of its connection, also at a reset.
+ */
+export function hasSocketFailed(socket: Socket): boolean {
+  return FAILED_SOCKETS.has(socket);
+}
+
+export class ServerConnections extends Agent {
+  readonly #idleMilliseconds: number;
+  #isRetired = false;
+
+  constructor(options: ServerConnectionsOptions) {
+    super({
+      keepAlive: true,
+      scheduling: "lifo",
+      maxSockets: options.maximumSockets,
+      maxFreeSockets: options.maximumSockets,
+    });
+    this.#idleMilliseconds = options.idleMilliseconds;
+  }
+
+  /** Closes idle connections now and busy ones after their request. */
+  retire(): void {
+    this.#isRetired = true;
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  /** Called by Node when a request has ended and its socket may be kept. */
+  override keepSocketAlive(socket: IdleSocket): boolean {
+    if (this.#isRetired || socket.destroyed) return false;
+    const destroy = () => socket.destroy();
+    IDLE_HANDLERS.set(socket, destroy);
+    socket.on("data", destroy);
+    socket.on("end", destroy);
+    socket.setKeepAlive(true, this.#idleMilliseconds);
+    socket.setTimeout(this.#idleMilliseconds, destroy);
+    socket.idleSince = performance.now();
+    socket.unref();
+    return true;
+  }
+
+  /** Called by Node when a kept socket gets its next request. */
+  override reuseSocket(socket: IdleSocket): void {
+    const destroy = IDLE_HANDLERS.get(socket);
+    if (destroy !== undefined) {
+      socket.off("data", destroy);
+      socket.off("end", destroy);
+      socket.off("timeout", destroy);
+    }
+    socket.setTimeout(0);
+    socket.ref();
+  }
+
+  /** Destroys connections that have been idle for longer than the bound. */
+  closeIdleFor(milliseconds: number): void {
+    const now = performance.now();
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of (sockets ?? []) as IdleSocket[]) {
+        if (now - (socket.idleSince ?? 0) > milliseconds) socket.destroy();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/server_table.ts
@@ -0,0 +1,126 @@
+/**
+ * The backend servers that an entry may use, by service, with what it
+ * believes about their load and its connections to them.
+ */
+import { createHash } from "node:crypto";
+import type { DiscoveryState } from "@marigoldford/kernel/discovery_state";
+import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
+import { ServerLoad } from "@marigoldford/kernel/server_load";
+import type { ServiceName } from "@marigoldford/kernel/types";
+import { ServerConnections } from "./server_connections.ts";
+
+export type UsableServer = {
+  readonly load: ServerLoad;
+  readonly connections: ServerConnections;
+  /** Short name of the server on the wire between entries. */
+  readonly tag: number;
+};
+
+export type ServerTableOptions = {
+  readonly clock: () => number;
+  readonly idleMilliseconds: number;
+  readonly maximumSockets: number;
+};
+
+/** A 32-bit tag of a server id; entries compute the same one. */
+export function serverTag(id: string): number {
+  return createHash("sha1").update(id).digest().readUInt32BE(0);
+}
+
+/** A change of an id, its start or its address makes it another server. */
+function isSameRun(left: ServerRegistration, right: ServerRegistration) {
+  return left.bornAtMilliseconds === right.bornAtMilliseconds &&
+    left.address === right.address && left.service === right.service &&
+    left.slots === right.slots;
+}
+
+export class ServerTable {
+  readonly #options: ServerTableOptions;
+  readonly #servers = new Map<string, UsableServer>();
+  #byService = new Map<ServiceName, ServerLoad[]>();
+  #byTag = new Map<number, UsableServer>();
+
+  constructor(options: ServerTableOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#servers.size;
+  }
+
+  all(): IterableIterator<UsableServer> {
+    return this.#servers.values();
+  }
+
+  find(id: string): UsableServer | undefined {
+    return this.#servers.get(id);
+  }
+
+  findByTag(tag: number): UsableServer | undefined {
+    return this.#byTag.get(tag);
+  }
+
+  ofService(service: ServiceName): readonly ServerLoad[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Makes the table agree with what was discovered. */
+  sync(state: DiscoveryState): void {
+    const now = this.#options.clock();
+    const usable = new Set<string>();
+    for (const [id, { registration }] of state.records) {
+      if (registration.state !== "ready") continue;
+      usable.add(id);
+      this.#keep(registration, now);
+    }
+    for (const id of this.#servers.keys()) {
+      if (!usable.has(id)) this.#retire(id);
+    }
+    this.#index();
+  }
+
+  /** Stops use of a server at once, before discovery says so. */
+  retire(id: string): void {
+    this.#retire(id);
+    this.#index();
+  }
+
+  close(): void {
+    for (const { connections } of this.#servers.values()) connections.destroy();
+  }
+
+  #keep(registration: ServerRegistration, now: number): void {
+    const known = this.#servers.get(registration.id);
+    if (known !== undefined) {
+      if (isSameRun(known.load.registration, registration)) {
+        known.load.renew(registration, now);
+        return;
+      }
+      this.#retire(registration.id);
+    }
+    this.#servers.set(registration.id, {
+      load: new ServerLoad(registration, now),
+      connections: new ServerConnections(this.#options),
+      tag: serverTag(registration.id),
+    });
+  }
+
+  #retire(id: string): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    server.connections.retire();
+    this.#servers.delete(id);
+  }
+
+  #index(): void {
+    this.#byService = new Map();
+    this.#byTag = new Map();
+    for (const server of this.#servers.values()) {
+      this.#byTag.set(server.tag, server);
+      const { service } = server.load.registration;
+      const servers = this.#byService.get(service);
+      if (servers === undefined) this.#byService.set(service, [server.load]);
+      else servers.push(server.load);
+    }
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/route_work.ts
@@ -0,0 +1,40 @@
+/**
+ * Learns what the requests of a route cost: the time that an idle server of
+ * usual speed needs, and the size of the answers.
+ *
+ * Only answers that found a free slot teach the time, divided by the slowdown
+ * that the server reported; time spent waiting would otherwise count as work.
+ */
+const SMOOTHING = 0.05;
+/** Before the first answers a route is taken to need this. */
+const DEFAULT_WORK_MILLISECONDS = 70;
+const DEFAULT_ANSWER_BYTES = 2_000;
+const DEFAULT_DOWNLOAD_BYTES = 100_000;
+
+export class RouteWork {
+  #workMilliseconds = DEFAULT_WORK_MILLISECONDS;
+  #answerBytes: number;
+  #samples = 0;
+
+  constructor(isDownload: boolean) {
+    this.#answerBytes = isDownload
+      ? DEFAULT_DOWNLOAD_BYTES
+      : DEFAULT_ANSWER_BYTES;
+  }
+
+  get workMilliseconds(): number {
+    return this.#workMilliseconds;
+  }
+
+  get answerBytes(): number {
+    return this.#answerBytes;
+  }
+
+  note(sample: { workMilliseconds: number; answerBytes: number }): void {
+    this.#samples += 1;
+    const weight = Math.max(SMOOTHING, 1 / (this.#samples + 1));
+    this.#workMilliseconds += weight *
+      (sample.workMilliseconds - this.#workMilliseconds);
+    this.#answerBytes += weight * (sample.answerBytes - this.#answerBytes);
+  }
+}
