Tell a reset from a close under answers without a length

Change: at the end of such an answer an empty line is written; it fails after a reset and is passed over after a close. Sockets no longer gather listeners.

--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -388,9 +388,10 @@
       answer.head.pause();
       this.#response.once("drain", () => answer.head.resume());
     });
-    answer.head.on("end", () => {
+    answer.head.on("end", async () => {
+      const isWhole = await attempt.isWhole(answer.head);
       if (this.#isOver || attempt.isOver) return;
-      if (!attempt.isWhole(answer.head)) return attempt.timeOut();
+      if (!isWhole) return attempt.timeOut();
       attempt.finishStream();
       this.#noteAnswer(attempt, status, bytes);
       this.#finish();
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -14,6 +14,7 @@
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import { type CallerProtocol, headerText } from "./caller_protocol.ts";
 import {
+  checkEnd,
   hasSocketFailed,
   type ServerConnections,
   watchForFailure,
@@ -80,6 +81,7 @@
   readonly #request: ClientRequest;
   #phase: AttemptPhase = "connecting";
   #socket: Socket | undefined;
+  #end: Promise<void> | undefined;
   #connectTimer: ReturnType<typeof setTimeout> | undefined;
   #firstByteAtMilliseconds: number | undefined;
   /** Load at the server when the attempt was placed, for the log. */
@@ -183,6 +185,19 @@
     return this.#phase === "collecting" || this.#phase === "streaming";
   }
 
+  /**
+   * An answer without a length ends with its connection; it is whole only if
+   * the connection was closed and not reset.
+   */
+  #watchEnd(answer: IncomingMessage): void {
+    const { headers } = answer;
+    const isFramed = headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined;
+    if (isFramed || this.#socket === undefined) return;
+    const socket = this.#socket;
+    socket.prependOnceListener("end", () => this.#end = checkEnd(socket));
+  }
+
   #onAnswer(answer: IncomingMessage): void {
     answer.on("error", () => this.#onBroken());
     if (this.isOver) {
@@ -194,6 +209,7 @@
     const fault = this.#faultOf(answer);
     if (fault !== undefined) return this.#fail(fault);
     this.#options.hooks.onHead(this, answer);
+    this.#watchEnd(answer);
     this.#collect(answer);
   }
 
@@ -241,12 +257,17 @@
         chunks,
       });
     });
-    answer.on("end", () => this.#onEnd(answer, chunks));
+    answer.on("end", () => void this.#onEnd(answer, chunks));
   }
 
-  #onEnd(answer: IncomingMessage, chunks: readonly Buffer[]): void {
+  async #onEnd(
+    answer: IncomingMessage,
+    chunks: readonly Buffer[],
+  ): Promise<void> {
+    if (this.#phase !== "collecting") return;
+    const isWhole = await this.isWhole(answer);
     if (this.#phase !== "collecting") return;
-    if (!this.isWhole(answer)) return this.#onBroken();
+    if (!isWhole) return this.#onBroken();
     this.#finish();
     this.#options.hooks.onWhole(this, {
       kind: "whole",
@@ -256,7 +277,8 @@
   }
 
   /** Whether an answer ended as its framing says, not by a reset. */
-  isWhole(answer: IncomingMessage): boolean {
+  async isWhole(answer: IncomingMessage): Promise<boolean> {
+    await this.#end;
     const hasFailed = this.#socket !== undefined &&
       hasSocketFailed(this.#socket);
     return answer.complete && !hasFailed;
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -5,7 +5,7 @@
  * bytes belong to no request. A connection is kept idle for less time than the
  * server keeps it, so that a request does not cross its close.
  */
-import { Agent } from "node:http";
+import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 
 export type ServerConnectionsOptions = {
@@ -21,15 +21,31 @@
 
 const FAILED_SOCKETS = new WeakSet<Socket>();
 
+/** An empty line before a request, which servers pass over. */
+const EMPTY_LINE = "\r\n";
+
 /** Remembers whether a connection ended by an error, such as a reset. */
 export function watchForFailure(socket: Socket): void {
   socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
 }
 
 /**
- * Whether a connection ended by an error. Node takes an answer without a
- * length as complete at any end of its connection, also at a reset.
+ * Finds out whether a connection that has ended was closed or reset. A reset
+ * that arrives together with the last bytes is reported as a plain end by
+ * Node's event loop; only a write then fails. Call it when the end is
+ * reported, before Node closes the connection.
  */
+export function checkEnd(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    if (!socket.writable) return resolve();
+    socket.write(EMPTY_LINE, (error) => {
+      if (error) FAILED_SOCKETS.add(socket);
+      resolve();
+    });
+  });
+}
+
+/** Whether a connection is known to have ended by an error. */
 export function hasSocketFailed(socket: Socket): boolean {
   return FAILED_SOCKETS.has(socket);
 }
@@ -63,15 +79,15 @@
     IDLE_HANDLERS.set(socket, destroy);
     socket.on("data", destroy);
     socket.on("end", destroy);
-    socket.setKeepAlive(true, this.#idleMilliseconds);
+    super.keepSocketAlive(socket);
     socket.setTimeout(this.#idleMilliseconds, destroy);
     socket.idleSince = performance.now();
-    socket.unref();
     return true;
   }
 
   /** Called by Node when a kept socket gets its next request. */
-  override reuseSocket(socket: IdleSocket): void {
+  override reuseSocket(socket: IdleSocket, request: ClientRequest): void {
+    super.reuseSocket(socket, request);
     const destroy = IDLE_HANDLERS.get(socket);
     if (destroy !== undefined) {
       socket.off("data", destroy);
@@ -79,7 +95,6 @@
       socket.off("timeout", destroy);
     }
     socket.setTimeout(0);
-    socket.ref();
   }
 
   /** Destroys connections that have been idle for longer than the bound. */
--- a/packages/kernel/src/snapshot_router.ts
+++ b/packages/kernel/src/snapshot_router.ts
@@ -13,6 +13,9 @@
 } from "./routing_snapshot.ts";
 import type { RandomSource, ServiceName } from "./types.ts";
 
+/** Turns after which whole percentages repeat. */
+const PHASES = 100;
+
 type Rotation = { readonly signature: string; readonly credits: number[] };
 
 export class SnapshotRouter {
@@ -68,15 +71,7 @@
   nextService(route: SnapshotRoute): ServiceName {
     if (route.services.length === 1) return route.services[0].service;
     const { credits } = this.#rotationOf(route);
-    let total = 0;
-    let best = 0;
-    route.services.forEach(({ weight }, index) => {
-      credits[index] += weight;
-      total += weight;
-      if (credits[index] > credits[best]) best = index;
-    });
-    credits[best] -= total;
-    return route.services[best].service;
+    return route.services[takeTurn(route, credits)].service;
   }
 
   #rotationOf(route: SnapshotRoute): Rotation {
@@ -88,20 +83,12 @@
     return rotation;
   }
 
-  /** Credits of a uniformly random point of the rotation; they sum to 0. */
+  /** Credits after a random number of turns. */
   #randomPhase(route: SnapshotRoute): number[] {
-    const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
-    const drawn = this.#random() * total;
-    let before = 0;
-    let chosen = 0;
-    route.services.forEach(({ weight }, index) => {
-      if (drawn >= before) chosen = index;
-      before += weight;
-    });
-    const depth = this.#random();
-    return route.services.map(({ weight }, index) =>
-      index === chosen ? depth * (weight - total) : depth * weight
-    );
+    const credits = route.services.map(() => 0);
+    const turns = Math.floor(this.#random() * PHASES);
+    for (let turn = 0; turn < turns; turn++) takeTurn(route, credits);
+    return credits;
   }
 
   #keepRotations(routes: readonly SnapshotRoute[]): void {
@@ -114,6 +101,19 @@
   }
 }
 
+/** Gives the turn to the part with the most credit; returns its index. */
+function takeTurn(route: SnapshotRoute, credits: number[]): number {
+  let total = 0;
+  let best = 0;
+  route.services.forEach(({ weight }, index) => {
+    credits[index] += weight;
+    total += weight;
+    if (credits[index] > credits[best]) best = index;
+  });
+  credits[best] -= total;
+  return best;
+}
+
 function signatureOf(route: SnapshotRoute): string {
   return route.services.map(({ service, weight }) => `${service}=${weight}`)
     .join(",");
