Ask the chosen backend server for its load right before a request

Ruled out: faster periodic probes; their cost grows with servers, not requests. All draw on one budget.

--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -2,31 +2,24 @@
  * What an exchange needs from the entry around it.
  */
 import type { FleetBudget } from "@marigoldford/kernel/fleet_budget";
-import type { CrossingCost } from "@marigoldford/kernel/placement";
 import type { RouteWork } from "@marigoldford/kernel/route_work";
 import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
-import type {
-  Clock,
-  FailureDomain,
-  RandomSource,
-  ServiceName,
-} from "@marigoldford/kernel/types";
+import type { Clock, ServiceName } from "@marigoldford/kernel/types";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayMetrics } from "./metrics.ts";
+import type { Placer } from "./placer.ts";
 import type { ServerTable } from "./server_table.ts";
 
 export type ExchangeContext = {
   readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly failureDomain: FailureDomain;
-  readonly crossing: CrossingCost;
   readonly connectTimeoutMilliseconds: number;
   readonly protocol: CallerProtocol;
   readonly router: SnapshotRouter;
   readonly servers: ServerTable;
+  readonly placer: Placer;
   readonly metrics: GatewayMetrics;
   readonly writeEvent: WriteEvent;
   readonly budgetOf: (service: ServiceName) => FleetBudget;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import { FleetBudget } from "@marigoldford/kernel/fleet_budget";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { Quarantine } from "@marigoldford/kernel/quarantine";
+import { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { RouteWork } from "@marigoldford/kernel/route_work";
 import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
@@ -33,6 +34,7 @@
 import { GatewayMetrics } from "./metrics.ts";
 import type { GatewayOptions } from "./options.ts";
 import { DISCOVERY_SOURCES, SIDE_PORTS, type SidePort } from "./plug_ins.ts";
+import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
 import { ServerTable } from "./server_table.ts";
 import "./metrics_port.ts";
@@ -57,8 +59,14 @@
   idleMilliseconds: 4_000,
   maximumSockets: 64,
   crossing: { roundTripMilliseconds: 3, objectivesForMegabyte: 10 },
-  probe: { intervalMilliseconds: 90, timeoutMilliseconds: 400 },
-  load: { nearIntervalMilliseconds: 15, farIntervalMilliseconds: 100 },
+  probe: {
+    quietMilliseconds: 400,
+    timeoutMilliseconds: 400,
+    patienceMilliseconds: 12,
+  },
+  /** Part of the budget for health checks that is used. */
+  probeShare: 0.7,
+  load: { nearIntervalMilliseconds: 40, farIntervalMilliseconds: 200 },
   discovery: {
     watchers: 2,
     watchWaitMilliseconds: 1_000,
@@ -151,6 +159,7 @@
   readonly #fleet: Fleet;
   readonly #load: LoadExchange;
   readonly #prober: Prober;
+  readonly #placer: Placer;
   readonly #front: FrontServer;
   readonly #quarantine: Quarantine;
   readonly #pauses: PauseDetector;
@@ -216,6 +225,7 @@
       self: this.#incarnation,
       clock,
       settings: TUNING.probe,
+      budget: new RateBudget(clock, () => this.#probesPerSecond()),
       protocol: parts.protocol,
       servers: this.#servers,
       members: () =>
@@ -224,6 +234,14 @@
       onReport: (server) => this.#load.noteReport(server),
       onProbe: () => this.#metrics.count("probes"),
     });
+    this.#placer = new Placer({
+      clock,
+      random: Math.random,
+      failureDomain: instance.failureDomain,
+      crossing: TUNING.crossing,
+      servers: this.#servers,
+      prober: this.#prober,
+    });
     this.#front = new FrontServer(this.#exchangeContext(parts.protocol));
     this.#sidePorts = this.#makeSidePorts();
   }
@@ -343,13 +361,11 @@
   #exchangeContext(protocol: CallerProtocol): ExchangeContext {
     return {
       clock: this.#clock,
-      random: Math.random,
-      failureDomain: this.#options.instance.failureDomain,
-      crossing: TUNING.crossing,
       connectTimeoutMilliseconds: TUNING.connectTimeoutMilliseconds,
       protocol,
       router: this.#router,
       servers: this.#servers,
+      placer: this.#placer,
       metrics: this.#metrics,
       writeEvent: this.#writeEvent,
       budgetOf: (service) => this.#budgetOf(service),
@@ -369,6 +385,13 @@
     };
   }
 
+  /** This entry's part of the health checks that the fleet may make. */
+  #probesPerSecond(): number {
+    const { probesPerSecond } = this.#options.bounds;
+    return TUNING.probeShare * probesPerSecond * this.#servers.size /
+      this.#fleet.members.budgetDivisor();
+  }
+
   #budgetOf(service: ServiceName): FleetBudget {
     let budget = this.#budgets.get(service);
     if (budget !== undefined) return budget;
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -1,14 +1,15 @@
 /**
- * Asks backend servers for their load, each by one entry of the fleet.
+ * Asks backend servers for their load: right before a request is sent to one,
+ * and now and then by one entry of the fleet each, to learn of their health.
  *
- * The entry that asks a server follows from the live members by rendezvous
- * hashing, among those of the server's failure domain where there are any. A
- * server that has reported on an answer meanwhile is not asked.
+ * The entry that asks a quiet server follows from the live members by
+ * rendezvous hashing, among those of the server's failure domain where there
+ * are any. All questions draw on one budget.
  */
-import { request } from "node:http";
-import { Agent } from "node:http";
+import { Agent, type IncomingMessage, request } from "node:http";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
+import type { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { rankMembers } from "@marigoldford/kernel/rendezvous";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { Clock, ServiceName } from "@marigoldford/kernel/types";
@@ -16,16 +17,19 @@
 import type { ServerTable } from "./server_table.ts";
 
 export type ProberSettings = {
-  /** A server is asked when its last report is this old. */
-  readonly intervalMilliseconds: number;
+  /** A quiet server is asked when its last report is this old. */
+  readonly quietMilliseconds: number;
   /** A server that has not answered by then counts as silent. */
   readonly timeoutMilliseconds: number;
+  /** A request waits this long at the most for an answer. */
+  readonly patienceMilliseconds: number;
 };
 
 export type ProberOptions = {
   readonly self: string;
   readonly clock: Clock;
   readonly settings: ProberSettings;
+  readonly budget: RateBudget;
   readonly protocol: CallerProtocol;
   readonly servers: ServerTable;
   readonly members: () => readonly MemberRecord[];
@@ -34,16 +38,17 @@
   readonly onProbe: () => void;
 };
 
-const TICK_MILLISECONDS = 10;
+const TICK_MILLISECONDS = 100;
 /** Ownership is worked out again this often. */
 const ASSIGN_MILLISECONDS = 500;
 const HEALTHY = 200;
+/** Questions to one server share this many connections. */
+const MOST_SOCKETS = 2;
 
 export class Prober {
   readonly #options: ProberOptions;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  readonly #waiting = new Set<string>();
-  readonly #askedAt = new Map<string, number>();
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MOST_SOCKETS });
+  readonly #pending = new Map<string, Promise<void>>();
   #owned: ServerLoad[] = [];
   #assignedAt = -Infinity;
   #timer: ReturnType<typeof setInterval> | undefined;
@@ -66,16 +71,37 @@
     this.#assignedAt = -Infinity;
   }
 
+  /**
+   * Asks a server and waits for its answer, not longer than a request may
+   * wait. Resolves with whether it answered; false too if the budget is spent.
+   */
+  async confirm(server: ServerLoad): Promise<boolean> {
+    const pending = this.#pending.get(server.registration.id) ??
+      this.#ask(server);
+    if (pending === undefined) return false;
+    let timer: ReturnType<typeof setTimeout> | undefined;
+    const patience = new Promise<boolean>((resolve) => {
+      timer = setTimeout(
+        () => resolve(false),
+        this.#options.settings.patienceMilliseconds,
+      );
+    });
+    const hasAnswered = await Promise.race([
+      pending.then(() => true),
+      patience,
+    ]);
+    clearTimeout(timer);
+    return hasAnswered;
+  }
+
   #tick(): void {
     const now = this.#options.clock();
     if (now - this.#assignedAt > ASSIGN_MILLISECONDS) this.#assign(now);
-    const { intervalMilliseconds } = this.#options.settings;
+    const { quietMilliseconds } = this.#options.settings;
     for (const server of this.#owned) {
-      const { id } = server.registration;
-      if (this.#waiting.has(id)) continue;
-      const sinceAsked = now - (this.#askedAt.get(id) ?? -Infinity);
-      const age = Math.min(server.reportAgeMilliseconds(now), sinceAsked);
-      if (age >= intervalMilliseconds) this.#ask(server);
+      if (this.#pending.has(server.registration.id)) continue;
+      if (server.reportAgeMilliseconds(now) < quietMilliseconds) continue;
+      void this.#ask(server);
     }
   }
 
@@ -94,42 +120,58 @@
     }
   }
 
-  #ask(server: ServerLoad): void {
-    const { id, address, service } = server.registration;
+  /** Starts a question; undefined if it cannot be asked now. */
+  #ask(server: ServerLoad): Promise<void> | undefined {
+    const { id, service } = server.registration;
     const path = this.#options.healthPathOf(service);
-    if (path === undefined) return;
-    const { host, port } = splitAddress(address);
-    this.#waiting.add(id);
-    this.#askedAt.set(id, this.#options.clock());
+    if (path === undefined || !this.#options.budget.trySpend()) {
+      return undefined;
+    }
     this.#options.onProbe();
-    const probe = request({ host, port, path, agent: this.#agent });
-    const timer = setTimeout(() => {
-      probe.destroy();
-      settle();
-      server.noteVerdict("silent", this.#options.clock());
-    }, this.#options.settings.timeoutMilliseconds);
-    const settle = () => {
-      clearTimeout(timer);
-      this.#waiting.delete(id);
-    };
-    probe.on("response", (answer) => {
-      answer.resume();
-      settle();
-      answer.on("error", () => probe.destroy());
-      const { protocol } = this.#options;
-      if (headerText(answer, protocol.headers.serverId) !== id) return;
-      server.noteHealth(answer.statusCode === HEALTHY);
-      const report = protocol.readLoad(answer);
-      if (report === undefined) return;
-      if (server.noteReport(report, this.#options.clock())) {
-        this.#options.onReport(server);
-      }
-    });
-    probe.on("error", () => {
-      if (!this.#waiting.has(id)) return;
-      settle();
-      server.noteVerdict("failed", this.#options.clock());
+    const question = this.#exchange(server, path).finally(() =>
+      this.#pending.delete(id)
+    );
+    this.#pending.set(id, question);
+    return question;
+  }
+
+  #exchange(server: ServerLoad, path: string): Promise<void> {
+    const { host, port } = splitAddress(server.registration.address);
+    return new Promise((resolve) => {
+      const question = request({ host, port, path, agent: this.#agent });
+      let isOver = false;
+      const end = (verdict: "failed" | "silent" | "answered") => {
+        if (isOver) return;
+        isOver = true;
+        clearTimeout(timer);
+        if (verdict !== "answered") {
+          server.noteVerdict(verdict, this.#options.clock());
+          question.destroy();
+        }
+        resolve();
+      };
+      const timer = setTimeout(
+        () => end("silent"),
+        this.#options.settings.timeoutMilliseconds,
+      );
+      question.on("error", () => end("failed"));
+      question.on("response", (answer) => {
+        answer.on("error", () => end("failed"));
+        answer.resume();
+        if (!isOver) this.#take(server, answer);
+        end("answered");
+      });
+      question.end();
     });
-    probe.end();
+  }
+
+  #take(server: ServerLoad, answer: IncomingMessage): void {
+    const { protocol, clock, onReport } = this.#options;
+    const { id } = server.registration;
+    if (headerText(answer, protocol.headers.serverId) !== id) return;
+    server.noteHealth(answer.statusCode === HEALTHY);
+    const report = protocol.readLoad(answer);
+    if (report === undefined) return;
+    if (server.noteReport(report, clock())) onReport(server);
   }
 }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -18,7 +18,10 @@
   decideHedge,
   firstHedgeMilliseconds,
 } from "@marigoldford/kernel/hedging";
-import { place, type Placement } from "@marigoldford/kernel/placement";
+import type {
+  Placement,
+  PlacementRequest,
+} from "@marigoldford/kernel/placement";
 import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
 import type { ServerVerdict } from "@marigoldford/kernel/server_load";
 import type { ServiceName } from "@marigoldford/kernel/types";
@@ -85,6 +88,7 @@
   #timer: ReturnType<typeof setTimeout> | undefined;
   #hedgeTimer: ReturnType<typeof setTimeout> | undefined;
   #lastUnusable: string | undefined;
+  #isPlacing = false;
   #isOver = false;
 
   constructor(
@@ -197,32 +201,38 @@
   #begin(): void {
     if (this.#isOver) return;
     this.#context.budgetOf(this.#service).noteRequest();
-    this.#tryServer("first");
+    void this.#tryServer("first");
   }
 
-  #place(): Placement | undefined {
-    const context = this.#context;
-    const work = context.workOf(this.#route);
-    return place(context.servers.ofService(this.#service), {
+  #placementRequest(): PlacementRequest {
+    const work = this.#context.workOf(this.#route);
+    return {
       workMilliseconds: work.workMilliseconds,
       answerBytes: work.answerBytes,
       objectiveMilliseconds: this.#route.objectiveMilliseconds,
       tried: this.#tried,
-    }, {
-      now: context.clock(),
-      random: context.random,
-      ownFailureDomain: context.failureDomain,
-      crossing: context.crossing,
-    });
+    };
   }
 
-  #tryServer(why: "first" | "retry" | "hedge"): void {
-    const placement = this.#place();
-    if (placement === undefined) {
-      if (this.#running.size > 0) return;
-      return this.#endInFailure("no-server");
-    }
-    this.#send(placement, why);
+  #choose(): Placement | undefined {
+    return this.#context.placer.choose(
+      this.#service,
+      this.#placementRequest(),
+    );
+  }
+
+  /** Places an attempt and sends it, if it is still wanted by then. */
+  async #tryServer(why: "first" | "retry" | "hedge"): Promise<void> {
+    this.#isPlacing = true;
+    const placement = await this.#context.placer.confirm(
+      this.#service,
+      this.#placementRequest(),
+      () => this.#timeLeft,
+    );
+    this.#isPlacing = false;
+    if (this.#isOver || this.#response.headersSent) return;
+    if (placement !== undefined) return this.#send(placement, why);
+    if (this.#running.size === 0) this.#endInFailure("no-server");
   }
 
   #send(placement: Placement, why: string): void {
@@ -310,8 +320,8 @@
   }
 
   #considerHedge(first: Placement): void {
-    if (this.#isOver || this.#running.size !== 1) return;
-    const other = this.#place();
+    if (this.#isOver || this.#isPlacing || this.#running.size !== 1) return;
+    const other = this.#choose();
     if (other === undefined) return;
     const decision = decideHedge({
       elapsedMilliseconds: this.#elapsed,
@@ -324,7 +334,7 @@
       decision === "send" &&
       this.#context.budgetOf(this.#service).trySpend()
     ) {
-      return this.#send(other, "hedge");
+      return void this.#tryServer("hedge");
     }
     if (decision === "never") return;
     this.#hedgeTimer = setTimeout(
@@ -364,12 +374,12 @@
 
   /** A server's own error may be mended by another server. */
   #retryAfterServerError(): boolean {
-    if (this.#running.size > 0) return true;
+    if (this.#running.size > 0 || this.#isPlacing) return true;
     this.#proofs.push("may-have-run");
     if (!this.#mayTryAnother() || this.#timeLeft <= 0) return false;
-    if (this.#place() === undefined) return false;
+    if (this.#choose() === undefined) return false;
     if (!this.#context.budgetOf(this.#service).trySpend()) return false;
-    this.#tryServer("retry");
+    void this.#tryServer("retry");
     return true;
   }
 
@@ -452,7 +462,7 @@
     }
     if (this.#isOver) return;
     if (this.#response.headersSent) return this.#cutAnswer(attempt);
-    if (this.#running.size > 0) return;
+    if (this.#running.size > 0 || this.#isPlacing) return;
     this.#afterFailure(evidence);
   }
 
@@ -461,7 +471,7 @@
     const isFree = evidence.kind === "not-connected";
     const budget = this.#context.budgetOf(this.#service);
     if (this.#mayTryAnother() && (isFree || budget.trySpend())) {
-      return this.#tryServer("retry");
+      return void this.#tryServer("retry");
     }
     const cause = evidence.kind === "refused-by-server"
       ? "servers-refused"
