Hedge when the first server is found slow at the last useful moment

Cause: late idempotent requests had one attempt; the hedge waited for a second server expected in time, and servers without fresh reports never were. Chosen servers with a load of 1 had none by their own fresh report: peers' counts lag by up to 40 ms. Some choices fell on a server last heard 500 ms ago after four questions. Change: at objective less 1.25 times the work the first server is asked for its slowdown, and a second one gets the request if it is slow; a report younger than 40 ms goes before peers' counts; one, two, then three servers are asked at once; download bytes between domains count 25 objectives a megabyte; late requests are logged with what decided their placement.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -3,6 +3,8 @@
  */
 import type { EventFields, EventLog } from "@marigoldford/logger/event_log";
 
+import type { PlacementBelief } from "./server_attempt.ts";
+
 export type GatewayEvent =
   | { event: "start"; entry: string; incarnation: string; domain: string }
   | {
@@ -42,16 +44,13 @@
   }
   | { event: "history-reread"; reason: string; revision: number }
   | { event: "pause-noticed"; milliseconds: number }
-  | {
+  | (PlacementBelief & {
     event: "attempt-started";
     request: string;
     server: string;
     why: string;
-    expectedMilliseconds: number;
-    load: number;
-    reportAgeMilliseconds?: number;
     candidates: number;
-  }
+  })
   | {
     event: "attempt-failed";
     request: string;
@@ -83,14 +82,14 @@
     attempts: number;
     elapsedMilliseconds: number;
   }
-  | {
+  | (PlacementBelief & {
     event: "request-late";
     request: string;
     server: string;
     attempts: number;
     elapsedMilliseconds: number;
     objectiveMilliseconds: number;
-  }
+  })
   | {
     event: "traffic";
     answered: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,7 +58,7 @@
   /** Backend servers are seen to keep idle connections for ten seconds. */
   idleMilliseconds: 4_000,
   maximumSockets: 64,
-  crossing: { roundTripMilliseconds: 3, objectivesForMegabyte: 10 },
+  crossing: { roundTripMilliseconds: 3, objectivesForMegabyte: 25 },
   probe: {
     quietMilliseconds: 400,
     timeoutMilliseconds: 400,
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -14,10 +14,7 @@
   proofOf,
   type RunProof,
 } from "@marigoldford/kernel/attempt_outcome";
-import {
-  decideHedge,
-  firstHedgeMilliseconds,
-} from "@marigoldford/kernel/hedging";
+import { decideHedge, hedgeTime } from "@marigoldford/kernel/hedging";
 import type {
   Placement,
   PlacementRequest,
@@ -38,7 +35,9 @@
 /** Bodies up to this size are kept so that they can be sent again. */
 const KEPT_BODY_BYTES = 64 * 1024;
 /** How often a delayed request is considered for a second send. */
-const HEDGE_INTERVAL_MILLISECONDS = 25;
+const HEDGE_INTERVAL_MILLISECONDS = 15;
+/** A late request is looked at more seldom. */
+const LATE_HEDGE_INTERVAL_MILLISECONDS = 100;
 /** A target gets a little less than what is left, for the way back. */
 const WAY_BACK_MILLISECONDS = 2;
 /** Callers may come back after this when no server can be named. */
@@ -243,6 +242,7 @@
     this.#attempts += 1;
     const attempt = new ServerAttempt({
       server,
+      placement,
       connections: usable.connections,
       protocol: this.#context.protocol,
       requestId: this.#requestId,
@@ -263,20 +263,17 @@
     this.#context.onInFlightChange(server);
     this.#running.add({ attempt, placement });
     if (why !== "first") this.#logAttempt(attempt, placement, why);
-    this.#scheduleHedge(placement);
+    this.#scheduleHedge();
   }
 
   #logAttempt(attempt: ServerAttempt, placement: Placement, why: string): void {
-    const age = attempt.server.reportAgeMilliseconds(this.#context.clock());
     this.#context.writeEvent({
       event: "attempt-started",
       request: this.#requestId,
       server: attempt.server.registration.id,
       why,
-      expectedMilliseconds: Math.round(placement.expectedMilliseconds),
-      load: attempt.loadAtStart,
-      reportAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : undefined,
       candidates: placement.candidateCount,
+      ...attempt.belief,
     });
   }
 
@@ -303,46 +300,54 @@
     return forwarded;
   }
 
-  #scheduleHedge(placement: Placement): void {
-    if (this.#route.kind === "at-most-once") return;
-    if (this.#body.kind !== "whole") return;
-    if (this.#serversReached + this.#running.size >= this.#mostAttempts) return;
-    clearTimeout(this.#hedgeTimer);
-    const delay = firstHedgeMilliseconds(placement.expectedMilliseconds);
-    this.#hedgeTimer = setTimeout(
-      () => this.#considerHedge(placement),
-      Math.min(delay, this.#route.objectiveMilliseconds / 2),
+  #mayHedge(): boolean {
+    return this.#route.kind !== "at-most-once" && this.#body.kind === "whole" &&
+      this.#serversReached + this.#running.size < this.#route.maximumAttempts;
+  }
+
+  #scheduleHedge(): void {
+    if (!this.#mayHedge()) return;
+    const at = hedgeTime(
+      this.#route.objectiveMilliseconds,
+      this.#context.workOf(this.#route).workMilliseconds,
     );
+    this.#setHedgeTimer(Math.max(0, at - this.#elapsed));
   }
 
-  get #mostAttempts(): number {
-    return this.#route.maximumAttempts;
+  #setHedgeTimer(milliseconds: number): void {
+    clearTimeout(this.#hedgeTimer);
+    this.#hedgeTimer = setTimeout(
+      () => void this.#considerHedge(),
+      milliseconds,
+    );
   }
 
-  #considerHedge(first: Placement): void {
-    if (this.#isOver || this.#isPlacing || this.#running.size !== 1) return;
-    const other = this.#choose();
-    if (other === undefined) return;
+  async #considerHedge(): Promise<void> {
+    if (!this.#isWaitingForOne()) return;
+    const [{ attempt }] = this.#running;
+    const slowdown = await this.#context.placer.askSlowdown(attempt.server);
+    if (!this.#isWaitingForOne() || attempt.isOver) return;
     const decision = decideHedge({
       elapsedMilliseconds: this.#elapsed,
       objectiveMilliseconds: this.#route.objectiveMilliseconds,
-      expectedMilliseconds: first.expectedMilliseconds,
-      otherExpectedMilliseconds: other.expectedMilliseconds,
-      hasOtherFreeSlot: other.hasFreeSlot,
+      workMilliseconds: this.#context.workOf(this.#route).workMilliseconds,
+      firstSlowdown: slowdown,
     });
-    if (
-      decision === "send" &&
-      this.#context.budgetOf(this.#service).trySpend()
-    ) {
-      return void this.#tryServer("hedge");
-    }
-    if (decision === "never") return;
-    this.#hedgeTimer = setTimeout(
-      () => this.#considerHedge(first),
-      HEDGE_INTERVAL_MILLISECONDS,
+    const isSent = decision === "send" && this.#choose() !== undefined &&
+      this.#context.budgetOf(this.#service).trySpend();
+    if (isSent) return this.#tryServer("hedge");
+    this.#setHedgeTimer(
+      decision === "late"
+        ? LATE_HEDGE_INTERVAL_MILLISECONDS
+        : HEDGE_INTERVAL_MILLISECONDS,
     );
   }
 
+  #isWaitingForOne(): boolean {
+    return !this.#isOver && !this.#isPlacing && this.#running.size === 1 &&
+      !this.#response.headersSent;
+  }
+
   #onHead(attempt: ServerAttempt, answer: IncomingMessage): void {
     const report = this.#context.protocol.readLoad(answer);
     if (report === undefined) return;
@@ -422,7 +427,7 @@
     if (status >= 400) return;
     const { lastReport } = attempt.server;
     const took = attempt.headMilliseconds ?? attempt.elapsedMilliseconds;
-    if (attempt.loadAtStart >= attempt.server.slots) return;
+    if (attempt.belief.load >= attempt.server.slots) return;
     this.#context.workOf(this.#route).note({
       workMilliseconds: took / (lastReport?.slowdown ?? 1),
       answerBytes: bytes,
@@ -444,6 +449,7 @@
       attempts: this.#attempts,
       elapsedMilliseconds: Math.round(elapsed),
       objectiveMilliseconds,
+      ...attempt.belief,
     });
   }
 
@@ -485,7 +491,7 @@
       kind: this.#route.kind,
       proofs: this.#proofs,
       serversReached: this.#serversReached,
-      maximumAttempts: this.#mostAttempts,
+      maximumAttempts: this.#route.maximumAttempts,
       isBodyAtHand: this.#body.kind === "whole",
       hasAnswerBegun: this.#response.headersSent,
     });
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -11,6 +11,7 @@
 import type { Socket } from "node:net";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
+import type { Placement } from "@marigoldford/kernel/placement";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import { type CallerProtocol, headerText } from "./caller_protocol.ts";
 import {
@@ -31,6 +32,7 @@
 
 export type AttemptOptions = {
   readonly server: ServerLoad;
+  readonly placement: Placement;
   readonly connections: ServerConnections;
   readonly protocol: CallerProtocol;
   readonly requestId: string;
@@ -70,6 +72,31 @@
   ) => void;
 };
 
+/** Inputs of a placement, as they were when it was made. */
+export type PlacementBelief = {
+  readonly expectedMilliseconds: number;
+  readonly load: number;
+  readonly slowdown?: number;
+  readonly reportAgeMilliseconds?: number;
+  readonly failureDomain: string;
+  readonly isCold: boolean;
+};
+
+function beliefOf(options: AttemptOptions, now: number): PlacementBelief {
+  const { server, placement } = options;
+  const { lastReport } = server;
+  return {
+    expectedMilliseconds: Math.round(placement.expectedMilliseconds),
+    load: server.load(now),
+    slowdown: lastReport?.slowdown,
+    reportAgeMilliseconds: lastReport === undefined
+      ? undefined
+      : Math.round(now - lastReport.atMilliseconds),
+    failureDomain: server.registration.failureDomain,
+    isCold: server.isCold(now),
+  };
+}
+
 /** Answers up to this size are collected before they are handed on. */
 const COLLECTED_BYTES = 128 * 1024;
 
@@ -84,13 +111,13 @@
   #end: Promise<void> | undefined;
   #connectTimer: ReturnType<typeof setTimeout> | undefined;
   #firstByteAtMilliseconds: number | undefined;
-  /** Load at the server when the attempt was placed, for the log. */
-  readonly loadAtStart: number;
+  /** What decided the placement, for the log. */
+  readonly belief: PlacementBelief;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
     this.startedAtMilliseconds = options.clock();
-    this.loadAtStart = options.server.load(this.startedAtMilliseconds);
+    this.belief = beliefOf(options, this.startedAtMilliseconds);
     const { host, port } = splitAddress(options.server.registration.address);
     this.#request = request({
       host,
--- a/packages/kernel/src/confirmation.ts
+++ b/packages/kernel/src/confirmation.ts
@@ -17,8 +17,8 @@
 
 /** A report this young is not worth a question. */
 const FRESH_MILLISECONDS = 12;
-/** More questions for one request cost more time than they save. */
-const MOST_QUESTIONS = 4;
+/** One server is asked first, then two at once, then three. */
+const MOST_QUESTIONS = 6;
 /** Without time to spare the request is sent at once. */
 const LEAST_TIME_MILLISECONDS = 30;
 
--- a/packages/kernel/src/hedging.ts
+++ b/packages/kernel/src/hedging.ts
@@ -3,42 +3,54 @@
  * backend server as well.
  *
  * It answers a load in which a server turns several times slower while it
- * works on a request: the request was placed well and is late all the same. A
- * second send pays only where it is expected to end before the first one and
- * within the objective.
+ * works on a request: the request was placed well and is late all the same.
+ * The question is asked at the last moment at which a second server can still
+ * answer within the objective, when most requests have been answered already.
+ * The first server is then asked how slow it is.
  */
 export type HedgeView = {
   readonly elapsedMilliseconds: number;
   readonly objectiveMilliseconds: number;
-  /** Expected time of the first attempt when it was placed. */
-  readonly expectedMilliseconds: number;
-  /** Expected time of the best other server, from now. */
-  readonly otherExpectedMilliseconds: number;
-  readonly hasOtherFreeSlot: boolean;
+  /** Time that an idle server of usual speed needs. */
+  readonly workMilliseconds: number;
+  /** Slowdown of the first server now; undefined if it does not answer. */
+  readonly firstSlowdown: number | undefined;
 };
 
-export type HedgeDecision = "send" | "wait" | "never";
+/**
+ * - `send`: a second send is worth its cost.
+ * - `wait`: the first server is expected to answer soon.
+ * - `late`: no server can answer within the objective any more.
+ */
+export type HedgeDecision = "send" | "wait" | "late";
 
-/** A first attempt is taken as delayed beyond this multiple. */
-const DELAY_FACTOR = 1.3;
+/** Requests of a route differ in size; a second send allows for that. */
+const WORK_MARGIN = 1.25;
+/** Way there and back, and the question to the second server. */
+const WAY_MILLISECONDS = 10;
+/** A first server at this slowdown is not expected to make it. */
+const SLOW = 1.8;
+/** A request at a usual server is taken as stuck beyond this. */
+const STUCK_FACTOR = 2.2;
 /** Servers that stay silent for this many objectives are given up. */
 const SILENT_OBJECTIVES = 2;
 
-/** Time after the start at which a hedge is first considered. */
-export function firstHedgeMilliseconds(expectedMilliseconds: number): number {
-  return expectedMilliseconds * DELAY_FACTOR;
+/** Time after the start of a request at which a hedge is considered. */
+export function hedgeTime(
+  objectiveMilliseconds: number,
+  workMilliseconds: number,
+): number {
+  const latest = objectiveMilliseconds - WORK_MARGIN * workMilliseconds -
+    WAY_MILLISECONDS;
+  return Math.max(workMilliseconds, latest);
 }
 
 export function decideHedge(view: HedgeView): HedgeDecision {
   const { elapsedMilliseconds: elapsed, objectiveMilliseconds: objective } =
     view;
-  if (elapsed > objective) {
-    const isSilent = elapsed > objective * SILENT_OBJECTIVES;
-    return isSilent && view.hasOtherFreeSlot ? "send" : "wait";
-  }
-  if (elapsed < firstHedgeMilliseconds(view.expectedMilliseconds)) {
-    return "wait";
-  }
-  const isInTime = elapsed + view.otherExpectedMilliseconds <= objective;
-  return isInTime && view.hasOtherFreeSlot ? "send" : "wait";
+  if (elapsed > objective * SILENT_OBJECTIVES) return "send";
+  if (elapsed + view.workMilliseconds > objective) return "late";
+  if (view.firstSlowdown === undefined) return "send";
+  if (view.firstSlowdown >= SLOW) return "send";
+  return elapsed > STUCK_FACTOR * view.workMilliseconds ? "send" : "wait";
 }
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -29,6 +29,8 @@
 type DatedReport = ServerReport & { readonly atMilliseconds: number };
 type PeerCount = { readonly count: number; readonly atMilliseconds: number };
 
+/** A report this young is better than what peers have said before it. */
+const REPORT_EXACT_MILLISECONDS = 40;
 /** A report older than this says nothing of the requests there. */
 const REPORT_COUNT_MILLISECONDS = 150;
 /** Load phases of shared machines last about 300 ms on the users' sites. */
@@ -102,11 +104,13 @@
         this.#peerCounts.delete(peer);
       } else known += count;
     }
-    if (this.reportAgeMilliseconds(now) > REPORT_COUNT_MILLISECONDS) {
-      return known;
-    }
-    const { running, waiting } = this.#report!;
-    return Math.max(known, running + waiting + this.#sentSinceReport);
+    if (this.#report === undefined) return known;
+    const age = this.reportAgeMilliseconds(now);
+    if (age > REPORT_COUNT_MILLISECONDS) return known;
+    const { running, waiting } = this.#report;
+    const reported = running + waiting + this.#sentSinceReport;
+    if (age <= REPORT_EXACT_MILLISECONDS) return reported;
+    return Math.max(known, reported);
   }
 
   /** Slowdown now; a stale report fades into `usual`. */
