Wait at the entry while servers are at the load at which they answer the most

Servers with many slots are kept below the knee. Servers that were not heard of lately are asked with hope.

--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -11,6 +11,7 @@
 import type { WriteEvent } from "./events.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { Placer } from "./placer.ts";
+import type { ServiceLine } from "./service_line.ts";
 import type { ServerTable } from "./server_table.ts";
 
 export type ExchangeContext = {
@@ -22,6 +23,7 @@
   readonly placer: Placer;
   readonly metrics: GatewayMetrics;
   readonly writeEvent: WriteEvent;
+  readonly lineOf: (service: ServiceName) => ServiceLine;
   readonly budgetOf: (service: ServiceName) => FleetBudget;
   readonly workOf: (route: SnapshotRoute) => RouteWork;
   /** Whether routes and backend servers are known. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import { DISCOVERY_SOURCES, SIDE_PORTS, type SidePort } from "./plug_ins.ts";
 import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
+import { ServiceLine } from "./service_line.ts";
 import { ServerTable } from "./server_table.ts";
 import "./metrics_port.ts";
 
@@ -151,6 +152,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #router = new SnapshotRouter(Math.random);
   readonly #budgets = new Map<ServiceName, FleetBudget>();
+  readonly #lines = new Map<ServiceName, ServiceLine>();
   readonly #works = new Map<string, RouteWork>();
   readonly #servers: ServerTable;
   readonly #port: DatagramPort;
@@ -368,6 +370,7 @@
       placer: this.#placer,
       metrics: this.#metrics,
       writeEvent: this.#writeEvent,
+      lineOf: (service) => this.#lineOf(service),
       budgetOf: (service) => this.#budgetOf(service),
       workOf: (route) => this.#workOf(route),
       isReady: () => this.#fleet.state !== "starting",
@@ -408,6 +411,15 @@
     return budget;
   }
 
+  #lineOf(service: ServiceName): ServiceLine {
+    let line = this.#lines.get(service);
+    if (line === undefined) {
+      line = new ServiceLine(this.#clock);
+      this.#lines.set(service, line);
+    }
+    return line;
+  }
+
   #workOf(route: SnapshotRoute): RouteWork {
     let work = this.#works.get(route.name);
     if (work === undefined) {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -6,8 +6,9 @@
 import {
   type CrossingCost,
   place,
-  type Placement,
   type PlacementRequest,
+  type PlacementResult,
+  type StaleView,
 } from "@marigoldford/kernel/placement";
 import type {
   Clock,
@@ -28,6 +29,13 @@
   readonly prober: Prober;
 };
 
+type Asking = {
+  readonly service: ServiceName;
+  readonly request: PlacementRequest;
+  /** Servers that did not answer, besides those that were tried. */
+  readonly passedOver: Set<string>;
+};
+
 export class Placer {
   readonly #options: PlacerOptions;
 
@@ -39,13 +47,15 @@
   choose(
     service: ServiceName,
     request: PlacementRequest,
-  ): Placement | undefined {
+    staleView: StaleView = "mean",
+  ): PlacementResult {
     const { servers, clock, random, failureDomain, crossing } = this.#options;
     return place(servers.ofService(service), request, {
       now: clock(),
       random,
       ownFailureDomain: failureDomain,
       crossing,
+      staleView,
     });
   }
 
@@ -55,57 +65,66 @@
     return hasAnswered ? server.lastReport?.slowdown : undefined;
   }
 
-  /** The best server, after asking those that looked best. */
+  /** The best server, after asking those that look best. */
   async confirm(
     service: ServiceName,
     request: PlacementRequest,
     timeLeft: () => number,
-  ): Promise<Placement | undefined> {
+  ): Promise<PlacementResult> {
     const passedOver = new Set(request.tried);
+    const asking = { service, request, passedOver };
     let asked = 0;
     for (let round = 1;; round++) {
-      const choose = () =>
-        this.choose(service, { ...request, tried: passedOver });
-      const placement = choose();
-      if (placement === undefined) return this.choose(service, request);
-      if (!this.#isUnsure(placement.server, asked, timeLeft())) {
-        return placement;
-      }
-      asked += await this.#askBest(service, request, {
-        passedOver,
-        count: round,
+      const hoped = this.#hopeFor(asking, passedOver);
+      if (hoped.kind !== "placed") break;
+      const { server } = hoped.placement;
+      if (this.#isFresh(server)) return hoped;
+      const age = this.#ageOf(server);
+      const isAsked = needsConfirmation({
+        reportAgeMilliseconds: age,
+        asked,
+        timeLeftMilliseconds: timeLeft(),
       });
+      if (!isAsked) break;
+      asked += await this.#askBest(asking, round);
     }
+    const settled = this.choose(service, { ...request, tried: passedOver });
+    return settled.kind === "none" ? this.choose(service, request) : settled;
+  }
+
+  #hopeFor(
+    { service, request }: Asking,
+    tried: ReadonlySet<string>,
+  ): PlacementResult {
+    return this.choose(service, { ...request, tried }, "hopeful");
   }
 
-  #isUnsure(server: ServerLoad, asked: number, timeLeft: number): boolean {
-    return needsConfirmation({
-      reportAgeMilliseconds: server.reportAgeMilliseconds(
-        this.#options.clock(),
-      ),
-      asked,
-      timeLeftMilliseconds: timeLeft,
+  #ageOf(server: ServerLoad): number {
+    return server.reportAgeMilliseconds(this.#options.clock());
+  }
+
+  #isFresh(server: ServerLoad): boolean {
+    return !needsConfirmation({
+      reportAgeMilliseconds: this.#ageOf(server),
+      asked: 0,
+      timeLeftMilliseconds: Infinity,
     });
   }
 
   /** Asks the best servers at once; the silent ones are passed over. */
-  async #askBest(
-    service: ServiceName,
-    request: PlacementRequest,
-    { passedOver, count }: { passedOver: Set<string>; count: number },
-  ): Promise<number> {
-    const picked = new Set(passedOver);
+  async #askBest(asking: Asking, count: number): Promise<number> {
+    const picked = new Set(asking.passedOver);
     const questions: Promise<void>[] = [];
     while (questions.length < count) {
-      const placement = this.choose(service, { ...request, tried: picked });
-      if (placement === undefined) break;
-      const { server } = placement;
+      const hoped = this.#hopeFor(asking, picked);
+      if (hoped.kind !== "placed") break;
+      const { server } = hoped.placement;
       const { id } = server.registration;
       picked.add(id);
-      if (!this.#isUnsure(server, 0, Infinity)) continue;
+      if (this.#isFresh(server)) continue;
       questions.push(
         this.#options.prober.confirm(server).then((hasAnswered) => {
-          if (!hasAnswered) passedOver.add(id);
+          if (!hasAnswered) asking.passedOver.add(id);
         }),
       );
     }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -19,6 +19,7 @@
   Placement,
   PlacementRequest,
 } from "@marigoldford/kernel/placement";
+import type { Ticket } from "@marigoldford/kernel/waiting_line";
 import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
 import type { ServerVerdict } from "@marigoldford/kernel/server_load";
 import type { ServiceName } from "@marigoldford/kernel/types";
@@ -38,6 +39,8 @@
 const HEDGE_INTERVAL_MILLISECONDS = 15;
 /** A late request is looked at more seldom. */
 const LATE_HEDGE_INTERVAL_MILLISECONDS = 100;
+/** An attempt that takes this multiple of its expected time is overdue. */
+const OVERDUE_FACTOR = 2.5;
 /** A target gets a little less than what is left, for the way back. */
 const WAY_BACK_MILLISECONDS = 2;
 /** Callers may come back after this when no server can be named. */
@@ -52,12 +55,14 @@
   | "no-request-id"
   | "body-too-large"
   | "no-server"
-  | "no-time"
+  | "no-room"
   | "servers-refused"
   | "quarantined"
   | "attempt-broken"
   | "time-out";
 
+type AttemptReason = "first" | "retry" | "hedge";
+
 type Refusal = {
   readonly status: number;
   readonly cause: RefusalCause;
@@ -87,6 +92,8 @@
   #timer: ReturnType<typeof setTimeout> | undefined;
   #hedgeTimer: ReturnType<typeof setTimeout> | undefined;
   #lastUnusable: string | undefined;
+  #ticketInLine: Ticket | undefined;
+  #isReturning = false;
   #isPlacing = false;
   #isOver = false;
 
@@ -152,6 +159,7 @@
       : route.timeoutMilliseconds;
     this.#deadlineAtMilliseconds = this.#arrivedAtMilliseconds + wait;
     this.#timer = setTimeout(() => this.#onTimeUp(), wait);
+    this.#isReturning = this.#context.workOf(route).noteWait(wait);
     this.#service = router.nextService(route);
     return undefined;
   }
@@ -200,7 +208,9 @@
   #begin(): void {
     if (this.#isOver) return;
     this.#context.budgetOf(this.#service).noteRequest();
-    void this.#tryServer("first");
+    const line = this.#context.lineOf(this.#service);
+    if (line.hasBefore(this.#ticket("first"))) this.#wait("first");
+    else void this.#tryServer("first");
   }
 
   #placementRequest(): PlacementRequest {
@@ -213,28 +223,59 @@
     };
   }
 
-  #choose(): Placement | undefined {
-    return this.#context.placer.choose(
+  #hasOtherServer(): boolean {
+    const result = this.#context.placer.choose(
       this.#service,
       this.#placementRequest(),
     );
+    return result.kind === "placed";
   }
 
   /** Places an attempt and sends it, if it is still wanted by then. */
-  async #tryServer(why: "first" | "retry" | "hedge"): Promise<void> {
+  async #tryServer(why: AttemptReason): Promise<void> {
     this.#isPlacing = true;
-    const placement = await this.#context.placer.confirm(
+    const result = await this.#context.placer.confirm(
       this.#service,
       this.#placementRequest(),
       () => this.#timeLeft,
     );
     this.#isPlacing = false;
     if (this.#isOver || this.#response.headersSent) return;
-    if (placement !== undefined) return this.#send(placement, why);
-    if (this.#running.size === 0) this.#endInFailure("no-server");
+    if (result.kind === "placed") return this.#send(result.placement, why);
+    if (this.#running.size > 0) return;
+    if (result.kind === "none") return this.#endInFailure("no-server");
+    this.#wait(why);
+  }
+
+  /** Waits in the line of the service until there may be room. */
+  #wait(why: AttemptReason): void {
+    const ticket = this.#ticket(why);
+    const line = this.#context.lineOf(this.#service);
+    if (!line.hasHope(ticket)) return this.#endInFailure("no-room");
+    this.#ticketInLine = ticket;
+    line.enter(ticket);
   }
 
-  #send(placement: Placement, why: string): void {
+  #ticket(why: AttemptReason): Ticket {
+    const { objectiveMilliseconds, priority } = this.#route;
+    return {
+      priority,
+      workMilliseconds: this.#context.workOf(this.#route).workMilliseconds,
+      arrivedAtMilliseconds: this.#arrivedAtMilliseconds,
+      objectiveAtMilliseconds: this.#arrivedAtMilliseconds +
+        objectiveMilliseconds,
+      deadlineAtMilliseconds: this.#deadlineAtMilliseconds,
+      isReturning: this.#isReturning,
+      onTurn: (turn) => {
+        this.#ticketInLine = undefined;
+        if (this.#isOver) return;
+        if (turn === "try") void this.#tryServer(why);
+        else this.#endInFailure("no-room");
+      },
+    };
+  }
+
+  #send(placement: Placement, why: AttemptReason): void {
     const { server } = placement;
     const usable = this.#context.servers.find(server.registration.id);
     if (usable === undefined) return this.#endInFailure("no-server");
@@ -259,7 +300,11 @@
         onFailure: (made, evidence) => this.#onFailure(made, evidence),
       },
     });
-    server.noteStart();
+    const expected = placement.expectedMilliseconds;
+    server.noteStart(
+      attempt,
+      attempt.startedAtMilliseconds + OVERDUE_FACTOR * expected,
+    );
     this.#context.onInFlightChange(server);
     this.#running.add({ attempt, placement });
     if (why !== "first") this.#logAttempt(attempt, placement, why);
@@ -300,6 +345,7 @@
     return forwarded;
   }
 
+  /** Whether another server may get the request beside the first one. */
   #mayHedge(): boolean {
     return this.#route.kind !== "at-most-once" && this.#body.kind === "whole" &&
       this.#serversReached + this.#running.size < this.#route.maximumAttempts;
@@ -333,7 +379,7 @@
       workMilliseconds: this.#context.workOf(this.#route).workMilliseconds,
       firstSlowdown: slowdown,
     });
-    const isSent = decision === "send" && this.#choose() !== undefined &&
+    const isSent = decision === "send" && this.#hasOtherServer() &&
       this.#context.budgetOf(this.#service).trySpend();
     if (isSent) return this.#tryServer("hedge");
     this.#setHedgeTimer(
@@ -344,7 +390,8 @@
   }
 
   #isWaitingForOne(): boolean {
-    return !this.#isOver && !this.#isPlacing && this.#running.size === 1 &&
+    return this.#mayHedge() && !this.#isOver && !this.#isPlacing &&
+      this.#running.size === 1 &&
       !this.#response.headersSent;
   }
 
@@ -382,7 +429,7 @@
     if (this.#running.size > 0 || this.#isPlacing) return true;
     this.#proofs.push("may-have-run");
     if (!this.#mayTryAnother() || this.#timeLeft <= 0) return false;
-    if (this.#choose() === undefined) return false;
+    if (!this.#hasOtherServer()) return false;
     if (!this.#context.budgetOf(this.#service).trySpend()) return false;
     void this.#tryServer("retry");
     return true;
@@ -527,8 +574,9 @@
     for (const running of this.#running) {
       if (running.attempt === attempt) this.#running.delete(running);
     }
-    attempt.server.noteEnd(verdict, this.#context.clock());
+    attempt.server.noteEnd(attempt, verdict, this.#context.clock());
     this.#context.onInFlightChange(attempt.server);
+    this.#context.lineOf(this.#service).noteRoom();
   }
 
   #logFailure(attempt: ServerAttempt, evidence: AttemptEvidence): void {
@@ -589,6 +637,9 @@
     this.#isOver = true;
     clearTimeout(this.#timer);
     clearTimeout(this.#hedgeTimer);
+    if (this.#ticketInLine !== undefined) {
+      this.#context.lineOf(this.#service).leave(this.#ticketInLine);
+    }
     this.#cancelOthers(undefined);
   }
 
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -3,9 +3,10 @@
  *
  * It answers a load in which a third of the servers are several times slower
  * for a few hundred milliseconds at a time, and in which servers slow down
- * when they are nearly full. The expected time is the work of the route,
- * times the slowdown of the server, behind the requests that are there. To
- * cross into another failure domain costs its round trip and its bytes.
+ * when they are nearly full. The expected time is the work of the route at
+ * the pace of the server, behind the requests that are there. A request that
+ * slows down those beside it, or crosses into another failure domain, is
+ * charged for that.
  */
 import type { ServerLoad } from "./server_load.ts";
 import type { FailureDomain, RandomSource } from "./types.ts";
@@ -20,11 +21,18 @@
   readonly tried: ReadonlySet<string>;
 };
 
+/**
+ * How servers without a fresh report are judged: with hope when it is decided
+ * whom to ask, at the mean when a request must be sent unasked.
+ */
+export type StaleView = "hopeful" | "mean";
+
 export type PlacementContext = {
   readonly now: number;
   readonly random: RandomSource;
   readonly ownFailureDomain: FailureDomain;
   readonly crossing: CrossingCost;
+  readonly staleView: StaleView;
 };
 
 /** Cost of sending a request to another failure domain. */
@@ -39,17 +47,26 @@
   /** Expected time to the whole answer, without costs and penalties. */
   readonly expectedMilliseconds: number;
   readonly candidateCount: number;
-  /** Whether the request is expected to start at once. */
-  readonly hasFreeSlot: boolean;
 };
 
-/** Mean slowdown over time: a quarter to a third at four times the usual. */
-const USUAL_SLOWDOWN = 1.8;
+/** `full`: there are servers, but none has room below its limit. */
+export type PlacementResult =
+  | { readonly kind: "placed"; readonly placement: Placement }
+  | { readonly kind: "full" }
+  | { readonly kind: "none" };
+
+const STALE_SLOWDOWN: Readonly<Record<StaleView, number>> = {
+  hopeful: 1.1,
+  // A quarter to a third of the servers at four times the usual.
+  mean: 1.8,
+};
 /** Servers work more slowly above this share of their slots. */
 const KNEE_OCCUPANCY = 0.8;
 const KNEE_SLOWDOWN = 1.7;
 /** Slowdown in the first seconds of a server's life. */
 const COLD_SLOWDOWN = 2;
+/** Requests beside a new one have half of their work left. */
+const LEFT_BESIDE = 0.5;
 /** A failed attempt costs about the whole objective. */
 const FAILURE_COST_OBJECTIVES = 2;
 /** Scores of servers that say that they are ill are multiplied by this. */
@@ -58,34 +75,54 @@
 const TIE_PART = 0.05;
 const BYTES_IN_MEGABYTE = 1_000_000;
 
-type Expected = { readonly time: number; readonly hasFreeSlot: boolean };
+/**
+ * Requests that a server is given at the most. Beyond the knee a server with
+ * many slots answers fewer in a second than just below it. One with few slots
+ * answers the most when another request waits for the slot that ends next.
+ */
+export function concurrencyLimit(slots: number): number {
+  const belowKnee = Math.floor(KNEE_OCCUPANCY * slots);
+  return belowKnee >= slots / KNEE_SLOWDOWN ? belowKnee : slots + 1;
+}
 
 /** Expected time to a whole answer from a server. */
 export function expectedCompletion(
   server: ServerLoad,
   workMilliseconds: number,
-  now: number,
-): Expected {
-  const { slots } = server;
+  view: { now: number; staleView: StaleView },
+): number {
+  const { now, staleView } = view;
   const load = server.load(now);
-  const occupancy = Math.min(1, (load + 1) / slots);
-  let pace = server.slowdown(now, USUAL_SLOWDOWN);
-  if (occupancy > KNEE_OCCUPANCY) pace *= KNEE_SLOWDOWN;
+  let pace = server.slowdown(now, STALE_SLOWDOWN[staleView]) *
+    server.overdueFactor(now);
+  if (isBeyondKnee(load + 1, server.slots)) pace *= KNEE_SLOWDOWN;
   if (server.isCold(now)) pace *= COLD_SLOWDOWN;
-  const ahead = Math.max(0, load + 1 - slots);
-  const time = workMilliseconds * pace * (1 + ahead / slots);
-  return { time, hasFreeSlot: ahead === 0 };
+  const ahead = Math.max(0, load + 1 - server.slots);
+  return workMilliseconds * pace * (1 + ahead / server.slots);
+}
+
+function isBeyondKnee(load: number, slots: number): boolean {
+  return load > KNEE_OCCUPANCY * slots;
+}
+
+/** Time that a request adds to those beside it by crossing the knee. */
+function harmBeside(server: ServerLoad, work: number, now: number): number {
+  const load = server.load(now);
+  const crosses = isBeyondKnee(load + 1, server.slots) &&
+    !isBeyondKnee(load, server.slots);
+  return crosses ? load * work * (KNEE_SLOWDOWN - 1) * LEFT_BESIDE : 0;
 }
 
 /** Time and costs of a server for a request, in milliseconds. */
 function score(
   server: ServerLoad,
-  expected: Expected,
+  expected: number,
   given: { request: PlacementRequest; context: PlacementContext },
 ): number {
   const { request, context } = given;
   const { objectiveMilliseconds: objective } = request;
-  let total = expected.time;
+  let total = expected +
+    harmBeside(server, request.workMilliseconds, context.now);
   if (server.registration.failureDomain !== context.ownFailureDomain) {
     const { roundTripMilliseconds, objectivesForMegabyte } = context.crossing;
     const megabytes = request.answerBytes / BYTES_IN_MEGABYTE;
@@ -99,38 +136,44 @@
 }
 
 /**
- * Places a request on one of `servers`, or returns undefined when none may
- * take it. Blocked servers are used only when there is no other.
+ * Places a request on one of `servers`. Blocked servers are used only when
+ * there is no other.
  */
 export function place(
   servers: readonly ServerLoad[],
   request: PlacementRequest,
   context: PlacementContext,
-): Placement | undefined {
+): PlacementResult {
+  const { now, staleView } = context;
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
   );
-  const open = untried.filter((server) => !server.isBlocked(context.now));
+  const open = untried.filter((server) => !server.isBlocked(now));
   const candidates = open.length > 0 ? open : untried;
-  let best: { server: ServerLoad; expected: Expected } | undefined;
+  if (candidates.length === 0) return { kind: "none" };
+  let best: ServerLoad | undefined;
+  let bestExpected = Infinity;
   let bestScore = Infinity;
   for (const server of candidates) {
-    const expected = expectedCompletion(
-      server,
-      request.workMilliseconds,
-      context.now,
-    );
+    if (server.load(now) >= concurrencyLimit(server.slots)) continue;
+    const expected = expectedCompletion(server, request.workMilliseconds, {
+      now,
+      staleView,
+    });
     const jitter = 1 + context.random() * TIE_PART;
     const total = score(server, expected, { request, context }) * jitter;
     if (total >= bestScore) continue;
     bestScore = total;
-    best = { server, expected };
+    bestExpected = expected;
+    best = server;
   }
-  if (best === undefined) return undefined;
+  if (best === undefined) return { kind: "full" };
   return {
-    server: best.server,
-    expectedMilliseconds: best.expected.time,
-    hasFreeSlot: best.expected.hasFreeSlot,
-    candidateCount: candidates.length,
+    kind: "placed",
+    placement: {
+      server: best,
+      expectedMilliseconds: bestExpected,
+      candidateCount: candidates.length,
+    },
   };
 }
--- /dev/null
+++ b/packages/kernel/src/placement_test.ts
@@ -0,0 +1,161 @@
+/**
+ * Tests of the choice of a backend server.
+ */
+import { describe, expect, it } from "vitest";
+import { needsConfirmation } from "./confirmation.ts";
+import {
+  concurrencyLimit,
+  place,
+  type PlacementContext,
+  type PlacementRequest,
+} from "./placement.ts";
+import { ServerLoad } from "./server_load.ts";
+
+const NOW = 1_000;
+const REQUEST: PlacementRequest = {
+  workMilliseconds: 80,
+  objectiveMilliseconds: 250,
+  answerBytes: 2_000,
+  tried: new Set(),
+};
+const CONTEXT: PlacementContext = {
+  now: NOW,
+  random: () => 0,
+  ownFailureDomain: "a",
+  crossing: { roundTripMilliseconds: 3, objectivesForMegabyte: 25 },
+  staleView: "mean",
+};
+
+type Given = {
+  id: string;
+  failureDomain?: string;
+  running?: number;
+  waiting?: number;
+  slowdown?: number;
+  slots?: number;
+  reportAt?: number;
+  warmUpLeftMilliseconds?: number;
+};
+
+function server(given: Given): ServerLoad {
+  const slots = given.slots ?? 6;
+  const load = new ServerLoad({
+    id: given.id,
+    service: "web",
+    address: "10.0.0.1:80",
+    failureDomain: given.failureDomain ?? "a",
+    slots,
+    state: "ready",
+    warmUpLeftMilliseconds: given.warmUpLeftMilliseconds ?? 0,
+    bornAtMilliseconds: 1,
+    sequence: 1,
+  }, 0);
+  load.noteReport({
+    running: given.running ?? 0,
+    waiting: given.waiting ?? 0,
+    slots,
+    slowdown: given.slowdown ?? 1,
+  }, given.reportAt ?? NOW);
+  return load;
+}
+
+function chosen(
+  servers: readonly ServerLoad[],
+  request: Partial<PlacementRequest> = {},
+): string {
+  const result = place(servers, { ...REQUEST, ...request }, CONTEXT);
+  return result.kind === "placed"
+    ? result.placement.server.registration.id
+    : result.kind;
+}
+
+describe("place", () => {
+  it("takes a usual server that is busy before a slow one that is idle", () => {
+    expect(chosen([
+      server({ id: "slow", slowdown: 4 }),
+      server({ id: "busy", running: 2 }),
+    ])).toBe("busy");
+  });
+
+  it("does not push a server beyond its knee while another has room", () => {
+    expect(chosen([
+      server({ id: "nearly-full", running: 4 }),
+      server({ id: "other", running: 3, failureDomain: "b" }),
+    ])).toBe("other");
+  });
+
+  it("crosses for a small answer but not for a large one", () => {
+    const servers = [
+      server({ id: "near", slowdown: 2 }),
+      server({ id: "far", failureDomain: "b" }),
+    ];
+    expect(chosen(servers)).toBe("far");
+    expect(chosen(servers, { answerBytes: 90_000 })).toBe("near");
+  });
+
+  it("avoids a cold server, one that failed and one overdue", () => {
+    const failed = server({ id: "failed" });
+    failed.noteVerdict("failed", NOW);
+    const overdue = server({ id: "overdue" });
+    overdue.noteStart({}, NOW - 1);
+    const cold = server({ id: "cold", warmUpLeftMilliseconds: 3_000 });
+    expect(chosen([failed, overdue, cold, server({ id: "good" })]))
+      .toBe("good");
+  });
+
+  it("tells full servers from none", () => {
+    expect(chosen([])).toBe("none");
+    expect(chosen([server({ id: "full", running: 6 })])).toBe("full");
+    expect(chosen([server({ id: "tried" })], { tried: new Set(["tried"]) }))
+      .toBe("none");
+  });
+
+  it("uses a blocked server only when there is no other", () => {
+    const blocked = server({ id: "blocked" });
+    for (let count = 0; count < 3; count++) blocked.noteVerdict("failed", NOW);
+    expect(blocked.isBlocked(NOW)).toBe(true);
+    expect(chosen([blocked, server({ id: "slow", slowdown: 4 })])).toBe("slow");
+    expect(chosen([blocked])).toBe("blocked");
+  });
+});
+
+describe("concurrencyLimit", () => {
+  it("stays below the knee where slots are many", () => {
+    expect([1, 2, 6, 10].map(concurrencyLimit)).toEqual([2, 3, 4, 8]);
+  });
+});
+
+describe("ServerLoad", () => {
+  it("adds what was sent since a report, and peers' counts later", () => {
+    const load = server({ id: "one", running: 1 });
+    load.noteStart({}, Infinity);
+    load.notePeerInFlight("peer", 3, NOW);
+    expect(load.load(NOW + 10)).toBe(2);
+    expect(load.load(NOW + 100)).toBe(4);
+    expect(load.load(NOW + 5_000)).toBe(1);
+  });
+
+  it("lets a stale slowdown fade", () => {
+    const load = server({ id: "one", slowdown: 4 });
+    expect(load.slowdown(NOW, 1.8)).toBe(4);
+    expect(load.slowdown(NOW + 2_000, 1.8)).toBeCloseTo(1.8, 1);
+  });
+});
+
+describe("needsConfirmation", () => {
+  it("asks only servers that report, and only when it is worth it", () => {
+    const view = {
+      reportAgeMilliseconds: 100,
+      asked: 0,
+      timeLeftMilliseconds: 500,
+    };
+    expect(needsConfirmation(view)).toBe(true);
+    expect(needsConfirmation({ ...view, reportAgeMilliseconds: Infinity }))
+      .toBe(false);
+    expect(needsConfirmation({ ...view, reportAgeMilliseconds: 3 }))
+      .toBe(false);
+    expect(needsConfirmation({ ...view, asked: 6 })).toBe(false);
+    expect(needsConfirmation({ ...view, timeLeftMilliseconds: 10 }))
+      .toBe(false);
+  });
+});
--- a/packages/kernel/src/route_work.ts
+++ b/packages/kernel/src/route_work.ts
@@ -6,6 +6,10 @@
  * that the server reported; time spent waiting would otherwise count as work.
  */
 const SMOOTHING = 0.05;
+/** The longest wait is forgotten over some hundred requests. */
+const WAIT_MEMORY = 0.998;
+/** Callers that give less than this part of it are taken as returning. */
+const RETURNING_PART = 0.95;
 /** Before the first answers a route is taken to need this. */
 const DEFAULT_WORK_MILLISECONDS = 70;
 const DEFAULT_ANSWER_BYTES = 2_000;
@@ -14,6 +18,7 @@
 export class RouteWork {
   #workMilliseconds = DEFAULT_WORK_MILLISECONDS;
   #answerBytes: number;
+  #usualWait = 0;
   #samples = 0;
 
   constructor(isDownload: boolean) {
@@ -30,6 +35,16 @@
     return this.#answerBytes;
   }
 
+  /**
+   * Notes how long a caller will wait, and tells whether it is less than what
+   * callers of the route usually give: it has then waited before, and comes
+   * back after a refusal.
+   */
+  noteWait(milliseconds: number): boolean {
+    this.#usualWait = Math.max(milliseconds, this.#usualWait * WAIT_MEMORY);
+    return milliseconds < this.#usualWait * RETURNING_PART;
+  }
+
   note(sample: { workMilliseconds: number; answerBytes: number }): void {
     this.#samples += 1;
     const weight = Math.max(SMOOTHING, 1 / (this.#samples + 1));
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -50,7 +50,8 @@
 
 export class ServerLoad {
   registration: ServerRegistration;
-  ownInFlight = 0;
+  /** Own attempts under way, with the time by which each should have ended. */
+  readonly #dueAt = new Map<object, number>();
   /** Own attempts that were started since the last report. */
   #sentSinceReport = 0;
   #report: DatedReport | undefined;
@@ -78,6 +79,10 @@
     return this.registration.slots;
   }
 
+  get ownInFlight(): number {
+    return this.#dueAt.size;
+  }
+
   get isHealthBad(): boolean {
     return this.#isHealthBad;
   }
@@ -149,16 +154,26 @@
     this.#isHealthBad = !isGood;
   }
 
-  noteStart(): void {
-    this.ownInFlight += 1;
+  /** Notes an own attempt; `attempt` is named again when it ends. */
+  noteStart(attempt: object, dueAtMilliseconds: number): void {
+    this.#dueAt.set(attempt, dueAtMilliseconds);
     this.#sentSinceReport += 1;
   }
 
-  noteEnd(verdict: ServerVerdict, now: number): void {
-    this.ownInFlight -= 1;
+  noteEnd(attempt: object, verdict: ServerVerdict, now: number): void {
+    this.#dueAt.delete(attempt);
     this.noteVerdict(verdict, now);
   }
 
+  /** Grows with own attempts that should have ended by now. */
+  overdueFactor(now: number): number {
+    let factor = 1;
+    for (const dueAt of this.#dueAt.values()) {
+      if (dueAt < now) factor += 1;
+    }
+    return factor;
+  }
+
   noteVerdict(verdict: ServerVerdict, now: number): void {
     if (verdict === "no-verdict") return;
     if (verdict === "refused") {
