Stop requests that crash servers; ask crowded callers back later

Cause: broken connections counted as crashes, and only retries were stopped; callers that came back 0.2 s after a refusal met the same burst. Ruled out: counting every break; resets would quarantine the innocent. Refusals for want of room say 0.5 s. A second send of a large answer does not cross failure domains.

--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -35,6 +35,11 @@
   readonly isQuarantined: (fingerprint: string) => boolean;
   readonly onInFlightChange: (server: ServerLoad) => void;
   readonly onReport: (server: ServerLoad) => void;
-  /** A connection broke under a request. */
-  readonly onBroken: (fingerprint: string, server: ServerLoad) => void;
+  /** A request was answered, so it did not crash its server. */
+  readonly onAnswered: (fingerprint: () => string) => void;
+  /** A connection broke under a request; resolves when it is known why. */
+  readonly onBroken: (
+    fingerprint: string,
+    server: ServerLoad,
+  ) => Promise<void>;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -383,8 +383,12 @@
         this.#quarantine.isQuarantined(digest(fingerprint)),
       onInFlightChange: (server) => this.#load.noteInFlight(server),
       onReport: (server) => this.#load.noteReport(server),
+      onAnswered: (fingerprint) => {
+        if (this.#quarantine.size === 0) return;
+        this.#quarantine.acquit(digest(fingerprint()));
+      },
       onBroken: (fingerprint, server) =>
-        this.#noteCrash(digest(fingerprint), server),
+        this.#noteBroken(digest(fingerprint), server),
     };
   }
 
@@ -563,8 +567,10 @@
     this.#writeEvent({ event: "peer-message-refused", peer, detail });
   }
 
-  #noteCrash(fingerprint: string, server: ServerLoad): void {
+  /** A server that refuses connections after one broke has crashed. */
+  async #noteBroken(fingerprint: string, server: ServerLoad): Promise<void> {
     const { id, address } = server.registration;
+    if (await this.#prober.askBriefly(server) !== "failed") return;
     if (!this.#quarantine.note({ fingerprint, address })) return;
     this.#writeEvent({
       event: "crash-suspected",
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -61,8 +61,8 @@
 
   /** How slow a server is now; undefined if it does not answer. */
   async askSlowdown(server: ServerLoad): Promise<number | undefined> {
-    const hasAnswered = await this.#options.prober.confirm(server);
-    return hasAnswered ? server.lastReport?.slowdown : undefined;
+    const result = await this.#options.prober.askBriefly(server);
+    return result === "answered" ? server.lastReport?.slowdown : undefined;
   }
 
   /** The best server, after asking those that look best. */
@@ -123,8 +123,8 @@
       picked.add(id);
       if (this.#isFresh(server)) continue;
       questions.push(
-        this.#options.prober.confirm(server).then((hasAnswered) => {
-          if (!hasAnswered) asking.passedOver.add(id);
+        this.#options.prober.askBriefly(server).then((result) => {
+          if (result !== "answered") asking.passedOver.add(id);
         }),
       );
     }
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -25,6 +25,9 @@
   readonly patienceMilliseconds: number;
 };
 
+/** `unasked`: the budget is spent, or the service is not known any more. */
+export type ProbeResult = "answered" | "failed" | "silent" | "unasked";
+
 export type ProberOptions = {
   readonly self: string;
   readonly clock: Clock;
@@ -48,7 +51,7 @@
 export class Prober {
   readonly #options: ProberOptions;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MOST_SOCKETS });
-  readonly #pending = new Map<string, Promise<void>>();
+  readonly #pending = new Map<string, Promise<ProbeResult>>();
   #owned: ServerLoad[] = [];
   #assignedAt = -Infinity;
   #timer: ReturnType<typeof setInterval> | undefined;
@@ -71,27 +74,35 @@
     this.#assignedAt = -Infinity;
   }
 
-  /**
-   * Asks a server and waits for its answer, not longer than a request may
-   * wait. Resolves with whether it answered; false too if the budget is spent.
-   */
-  async confirm(server: ServerLoad): Promise<boolean> {
-    const pending = this.#pending.get(server.registration.id) ??
-      this.#ask(server);
-    if (pending === undefined) return false;
+  /** Asks a server and waits no longer for it than a request may wait. */
+  async askBriefly(server: ServerLoad): Promise<ProbeResult> {
     let timer: ReturnType<typeof setTimeout> | undefined;
-    const patience = new Promise<boolean>((resolve) => {
+    const patience = new Promise<ProbeResult>((resolve) => {
       timer = setTimeout(
-        () => resolve(false),
+        () => resolve("silent"),
         this.#options.settings.patienceMilliseconds,
       );
     });
-    const hasAnswered = await Promise.race([
-      pending.then(() => true),
-      patience,
-    ]);
+    const result = await Promise.race([this.ask(server), patience]);
     clearTimeout(timer);
-    return hasAnswered;
+    return result;
+  }
+
+  /** Asks a server, or joins a question that is under way. */
+  ask(server: ServerLoad): Promise<ProbeResult> {
+    const { id, service } = server.registration;
+    const pending = this.#pending.get(id);
+    if (pending !== undefined) return pending;
+    const path = this.#options.healthPathOf(service);
+    if (path === undefined || !this.#options.budget.trySpend()) {
+      return Promise.resolve("unasked");
+    }
+    this.#options.onProbe();
+    const question = this.#exchange(server, path).finally(() =>
+      this.#pending.delete(id)
+    );
+    this.#pending.set(id, question);
+    return question;
   }
 
   #tick(): void {
@@ -101,7 +112,7 @@
     for (const server of this.#owned) {
       if (this.#pending.has(server.registration.id)) continue;
       if (server.reportAgeMilliseconds(now) < quietMilliseconds) continue;
-      void this.#ask(server);
+      void this.ask(server);
     }
   }
 
@@ -120,27 +131,12 @@
     }
   }
 
-  /** Starts a question; undefined if it cannot be asked now. */
-  #ask(server: ServerLoad): Promise<void> | undefined {
-    const { id, service } = server.registration;
-    const path = this.#options.healthPathOf(service);
-    if (path === undefined || !this.#options.budget.trySpend()) {
-      return undefined;
-    }
-    this.#options.onProbe();
-    const question = this.#exchange(server, path).finally(() =>
-      this.#pending.delete(id)
-    );
-    this.#pending.set(id, question);
-    return question;
-  }
-
-  #exchange(server: ServerLoad, path: string): Promise<void> {
+  #exchange(server: ServerLoad, path: string): Promise<ProbeResult> {
     const { host, port } = splitAddress(server.registration.address);
     return new Promise((resolve) => {
       const question = request({ host, port, path, agent: this.#agent });
       let isOver = false;
-      const end = (verdict: "failed" | "silent" | "answered") => {
+      const end = (verdict: Exclude<ProbeResult, "unasked">) => {
         if (isOver) return;
         isOver = true;
         clearTimeout(timer);
@@ -148,7 +144,7 @@
           server.noteVerdict(verdict, this.#options.clock());
           question.destroy();
         }
-        resolve();
+        resolve(verdict);
       };
       const timer = setTimeout(
         () => end("silent"),
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -39,12 +39,18 @@
 const HEDGE_INTERVAL_MILLISECONDS = 15;
 /** A late request is looked at more seldom. */
 const LATE_HEDGE_INTERVAL_MILLISECONDS = 100;
+/** A second send is a gamble; large answers do not cross for it. */
+const MOST_HEDGE_CROSSING_OBJECTIVES = 0.3;
 /** An attempt that takes this multiple of its expected time is overdue. */
 const OVERDUE_FACTOR = 2.5;
 /** A target gets a little less than what is left, for the way back. */
 const WAY_BACK_MILLISECONDS = 2;
 /** Callers may come back after this when no server can be named. */
 const RETRY_SECONDS = 0.2;
+/** Bursts last for seconds; callers that come back sooner add to them. */
+const CROWDED_RETRY_SECONDS = 0.5;
+/** A request that crashes servers is not wanted back soon. */
+const QUARANTINE_RETRY_SECONDS = 30;
 const STARTING_RETRY_SECONDS = 0.5;
 const MILLISECONDS_IN_SECOND = 1_000;
 
@@ -207,26 +213,36 @@
 
   #begin(): void {
     if (this.#isOver) return;
+    if (this.#context.isQuarantined(this.#fingerprint())) {
+      return this.#refuse({
+        status: 503,
+        cause: "quarantined",
+        retryAfterSeconds: QUARANTINE_RETRY_SECONDS,
+      });
+    }
     this.#context.budgetOf(this.#service).noteRequest();
     const line = this.#context.lineOf(this.#service);
     if (line.hasBefore(this.#ticket("first"))) this.#wait("first");
     else void this.#tryServer("first");
   }
 
-  #placementRequest(): PlacementRequest {
+  #placementRequest(why: AttemptReason): PlacementRequest {
     const work = this.#context.workOf(this.#route);
     return {
       workMilliseconds: work.workMilliseconds,
       answerBytes: work.answerBytes,
       objectiveMilliseconds: this.#route.objectiveMilliseconds,
       tried: this.#tried,
+      mostCrossingObjectives: why === "hedge"
+        ? MOST_HEDGE_CROSSING_OBJECTIVES
+        : Infinity,
     };
   }
 
-  #hasOtherServer(): boolean {
+  #hasOtherServer(why: AttemptReason): boolean {
     const result = this.#context.placer.choose(
       this.#service,
-      this.#placementRequest(),
+      this.#placementRequest(why),
     );
     return result.kind === "placed";
   }
@@ -236,7 +252,7 @@
     this.#isPlacing = true;
     const result = await this.#context.placer.confirm(
       this.#service,
-      this.#placementRequest(),
+      this.#placementRequest(why),
       () => this.#timeLeft,
     );
     this.#isPlacing = false;
@@ -379,7 +395,7 @@
       workMilliseconds: this.#context.workOf(this.#route).workMilliseconds,
       firstSlowdown: slowdown,
     });
-    const isSent = decision === "send" && this.#hasOtherServer() &&
+    const isSent = decision === "send" && this.#hasOtherServer("hedge") &&
       this.#context.budgetOf(this.#service).trySpend();
     if (isSent) return this.#tryServer("hedge");
     this.#setHedgeTimer(
@@ -429,7 +445,7 @@
     if (this.#running.size > 0 || this.#isPlacing) return true;
     this.#proofs.push("may-have-run");
     if (!this.#mayTryAnother() || this.#timeLeft <= 0) return false;
-    if (!this.#hasOtherServer()) return false;
+    if (!this.#hasOtherServer("retry")) return false;
     if (!this.#context.budgetOf(this.#service).trySpend()) return false;
     void this.#tryServer("retry");
     return true;
@@ -468,6 +484,7 @@
   }
 
   #noteAnswer(attempt: ServerAttempt, status: number, bytes: number): void {
+    this.#context.onAnswered(() => this.#fingerprint());
     this.#serversReached += 1;
     const verdict = status >= 500 ? "failed" : "answered";
     this.#release(attempt, verdict);
@@ -510,11 +527,22 @@
     if (evidence.kind === "cancelled") return;
     this.#logFailure(attempt, evidence);
     if (evidence.kind === "unusable-answer") this.#lastUnusable = evidence.why;
-    if (evidence.kind === "broken") {
-      this.#context.onBroken(this.#fingerprint(), attempt.server);
+    if (this.#isOver) {
+      if (evidence.kind === "broken") void this.#explainBreak(attempt);
+      return;
     }
-    if (this.#isOver) return;
     if (this.#response.headersSent) return this.#cutAnswer(attempt);
+    if (evidence.kind === "broken") {
+      void this.#explainBreak(attempt).then(() => this.#goOn(evidence));
+    } else this.#goOn(evidence);
+  }
+
+  #explainBreak({ server }: ServerAttempt): Promise<void> {
+    return this.#context.onBroken(this.#fingerprint(), server);
+  }
+
+  #goOn(evidence: AttemptEvidence): void {
+    if (this.#isOver || this.#response.headersSent) return;
     if (this.#running.size > 0 || this.#isPlacing) return;
     this.#afterFailure(evidence);
   }
@@ -544,6 +572,7 @@
     });
   }
 
+  /** Tells requests apart that are the same but for their ids. */
   #fingerprint(): string {
     const { method = "", url = "", headers } = this.#request;
     const body = this.#body?.kind === "whole"
@@ -656,7 +685,9 @@
         return this.#refuse({
           status: 503,
           cause,
-          retryAfterSeconds: RETRY_SECONDS,
+          retryAfterSeconds: cause === "no-room"
+            ? CROWDED_RETRY_SECONDS
+            : RETRY_SECONDS,
         });
       case "unknown-timed-out":
         return this.#refuse({ status: 504, cause });
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -19,6 +19,8 @@
   /** Mean size of the answers of the route. */
   readonly answerBytes: number;
   readonly tried: ReadonlySet<string>;
+  /** Crossings that cost more latency objectives than this are not made. */
+  readonly mostCrossingObjectives: number;
 };
 
 /**
@@ -55,6 +57,11 @@
   | { readonly kind: "full" }
   | { readonly kind: "none" };
 
+type Given = {
+  readonly request: PlacementRequest;
+  readonly context: PlacementContext;
+};
+
 const STALE_SLOWDOWN: Readonly<Record<StaleView, number>> = {
   hopeful: 1.1,
   // A quarter to a third of the servers at four times the usual.
@@ -113,21 +120,30 @@
   return crosses ? load * work * (KNEE_SLOWDOWN - 1) * LEFT_BESIDE : 0;
 }
 
+/** What the bytes of an answer from a server cost, in objectives. */
+function crossingObjectives(
+  server: ServerLoad,
+  { request, context }: Given,
+): number {
+  const { failureDomain } = server.registration;
+  if (failureDomain === context.ownFailureDomain) return 0;
+  const megabytes = request.answerBytes / BYTES_IN_MEGABYTE;
+  return megabytes * context.crossing.objectivesForMegabyte;
+}
+
 /** Time and costs of a server for a request, in milliseconds. */
 function score(
   server: ServerLoad,
   expected: number,
-  given: { request: PlacementRequest; context: PlacementContext },
+  given: Given,
 ): number {
   const { request, context } = given;
   const { objectiveMilliseconds: objective } = request;
   let total = expected +
     harmBeside(server, request.workMilliseconds, context.now);
-  if (server.registration.failureDomain !== context.ownFailureDomain) {
-    const { roundTripMilliseconds, objectivesForMegabyte } = context.crossing;
-    const megabytes = request.answerBytes / BYTES_IN_MEGABYTE;
-    total += roundTripMilliseconds +
-      megabytes * objectivesForMegabyte * objective;
+  const crossing = crossingObjectives(server, given);
+  if (crossing > 0) {
+    total += context.crossing.roundTripMilliseconds + crossing * objective;
   }
   total += server.failureShare(context.now) * FAILURE_COST_OBJECTIVES *
     objective;
@@ -145,6 +161,7 @@
   context: PlacementContext,
 ): PlacementResult {
   const { now, staleView } = context;
+  const given = { request, context };
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
   );
@@ -156,12 +173,14 @@
   let bestScore = Infinity;
   for (const server of candidates) {
     if (server.load(now) >= concurrencyLimit(server.slots)) continue;
+    const crossing = crossingObjectives(server, given);
+    if (crossing > request.mostCrossingObjectives) continue;
     const expected = expectedCompletion(server, request.workMilliseconds, {
       now,
       staleView,
     });
     const jitter = 1 + context.random() * TIE_PART;
-    const total = score(server, expected, { request, context }) * jitter;
+    const total = score(server, expected, given) * jitter;
     if (total >= bestScore) continue;
     bestScore = total;
     bestExpected = expected;
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -17,6 +17,7 @@
   objectiveMilliseconds: 250,
   answerBytes: 2_000,
   tried: new Set(),
+  mostCrossingObjectives: Infinity,
 };
 const CONTEXT: PlacementContext = {
   now: NOW,
@@ -93,6 +94,14 @@
     expect(chosen(servers, { answerBytes: 90_000 })).toBe("near");
   });
 
+  it("does not cross where that costs more than allowed", () => {
+    const far = [server({ id: "far", failureDomain: "b" })];
+    const large = { answerBytes: 90_000 };
+    expect(chosen(far, large)).toBe("far");
+    expect(chosen(far, { ...large, mostCrossingObjectives: 0.5 })).toBe("full");
+    expect(chosen(far, { mostCrossingObjectives: 0.5 })).toBe("far");
+  });
+
   it("avoids a cold server, one that failed and one overdue", () => {
     const failed = server({ id: "failed" });
     failed.noteVerdict("failed", NOW);
