--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -45,14 +45,13 @@
     process.once("SIGINT", resolve);
   });
   const program = Effect.gen(function* () {
-    const gateway = yield* startGateway(settings.value);
+    const gateway = yield* startGateway(
+      settings.value,
+      () => readSettings(settingsPath).unwrapOr(settings.value).seeds,
+    );
     process.on("SIGHUP", () => {
       const reread = readSettings(settingsPath);
-      gateway.noteReload(
-        reread.isOk()
-          ? "settings are read at the next start"
-          : reread.error.detail,
-      );
+      gateway.noteReload(reread.isOk() ? "seeds read" : reread.error.detail);
     });
     yield* Effect.promise(() => stop);
     yield* Effect.promise(() => gateway.leave());
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -24,8 +24,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly self: Omit<MemberRecord, "counter" | "state">;
-  /** Datagram addresses of seeds. */
-  readonly seeds: readonly Address[];
+  /** Datagram addresses of seeds, read anew at each use. */
+  readonly seeds: () => readonly Address[];
   readonly port: DatagramPort;
   readonly news: () => DiscoveryNews;
   readonly writeEvent: WriteEvent;
@@ -118,7 +118,7 @@
 
   #askSeeds(): void {
     const own = this.#options.self.datagramAddress;
-    const seeds = this.#options.seeds.filter((seed) => seed !== own);
+    const seeds = this.#options.seeds().filter((seed) => seed !== own);
     this.#send(seeds, [this.#record()], true);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,9 +98,13 @@
 const LEAST_LEAVE_MILLISECONDS = 3_000;
 const LEAVE_CHECK_MILLISECONDS = 25;
 
+/** Mesh addresses of seeds; settings may name others while the entry runs. */
+export type SeedReader = () => readonly Address[];
+
 /** Starts a gateway; closing the scope stops it at once. */
 export function startGateway(
   options: GatewayOptions,
+  readSeeds: SeedReader = () => options.seeds,
 ): Effect.Effect<GatewayHandle, GatewayStartFailure, Scope.Scope> {
   return Effect.gen(function* () {
     const protocol = CALLER_PROTOCOLS.find(options.protocol);
@@ -122,6 +126,7 @@
     const gateway = new Gateway(options, {
       protocol: protocol.value,
       source: source.value({ writeEvent }, options.discovery),
+      readSeeds,
       writeEvent,
     });
     yield* Effect.acquireRelease(
@@ -141,12 +146,14 @@
 type GatewayParts = {
   readonly protocol: CallerProtocol;
   readonly source: DiscoverySource;
+  readonly readSeeds: SeedReader;
   readonly writeEvent: WriteEvent;
 };
 
 class Gateway {
   readonly #options: GatewayOptions;
   readonly #writeEvent: WriteEvent;
+  readonly #readSeeds: SeedReader;
   readonly #clock = () => performance.now();
   readonly #incarnation = randomBytes(6).toString("hex");
   readonly #metrics = new GatewayMetrics();
@@ -176,6 +183,7 @@
   constructor(options: GatewayOptions, parts: GatewayParts) {
     this.#options = options;
     this.#writeEvent = parts.writeEvent;
+    this.#readSeeds = parts.readSeeds;
     const clock = this.#clock;
     const { instance } = options;
     this.#servers = new ServerTable({ clock, ...TUNING });
@@ -329,8 +337,7 @@
   }
 
   #makeFleet(): Fleet {
-    const { instance, seeds } = this.#options;
-    const { port } = splitAddress(instance.datagramAddress);
+    const { instance } = this.#options;
     return new Fleet({
       clock: this.#clock,
       random: Math.random,
@@ -341,13 +348,21 @@
         datagramAddress: instance.datagramAddress,
         failureDomain: instance.failureDomain,
       },
-      seeds: seeds.map((seed) => `${splitAddress(seed).host}:${port}`),
+      seeds: () => this.#seedAddresses(),
       port: this.#port,
       news: () => this.#keeper.news,
       writeEvent: this.#writeEvent,
     });
   }
 
+  /** Seeds as the settings name them now; ports are the same everywhere. */
+  #seedAddresses(): Address[] {
+    const { port } = splitAddress(this.#options.instance.datagramAddress);
+    return this.#readSeeds().map((seed) =>
+      `${splitAddress(seed).host}:${port}`
+    );
+  }
+
   #makeSidePorts(): SidePort[] {
     const view = {
       isReady: () => this.#fleet.state === "serving",
--- /dev/null
+++ b/packages/gateway/src/load_block_test.ts
@@ -0,0 +1,64 @@
+/**
+ * Tests of load blocks and fleet messages, also with bytes drawn at random.
+ */
+import { Buffer } from "node:buffer";
+import fastCheck from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  decodeDatagram,
+  decodeFleetFrame,
+  encodeFleetMessage,
+} from "./fleet_messages.ts";
+import {
+  decodeCounts,
+  decodeReports,
+  encodeCounts,
+  encodeReports,
+} from "./load_block.ts";
+
+const SEED = 20_261_204;
+
+describe("load blocks", () => {
+  it("carry counts and reports", () => {
+    const counts = [{ tag: 1, count: 3 }, { tag: 0xffffffff, count: 300 }];
+    expect(decodeCounts(encodeCounts(counts))).toEqual([
+      { tag: 1, count: 3 },
+      { tag: 0xffffffff, count: 255 },
+    ]);
+    const report = { running: 2, waiting: 1, slots: 6, slowdown: 4 };
+    const reports = [{ tag: 7, report, ageMilliseconds: 24 }];
+    expect(decodeReports(encodeReports(reports))).toEqual(reports);
+  });
+
+  it("pass over what is cut short", () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.uint8Array({ maxLength: 40 }), (bytes) => {
+        expect(decodeCounts(bytes)).toHaveLength(Math.floor(bytes.length / 5));
+        expect(decodeReports(bytes)).toHaveLength(Math.floor(bytes.length / 9));
+      }),
+      { seed: SEED },
+    );
+  });
+});
+
+describe("fleet messages", () => {
+  it("that cannot be read are typed failures and never throw", () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.uint8Array({ maxLength: 60 }), (bytes) => {
+        for (const decode of [decodeDatagram, decodeFleetFrame]) {
+          const result = decode(Buffer.from(bytes));
+          if (result.isOk()) continue;
+          expect(result.error.kind).toBe("message-unreadable");
+        }
+      }),
+      { seed: SEED, numRuns: 2_000 },
+    );
+  });
+
+  it("come back as they were sent", () => {
+    const sent = { kind: "crash", from: "a", fingerprint: "f", server: "s" };
+    const bytes = encodeFleetMessage(sent as never);
+    expect(decodeDatagram(bytes)._unsafeUnwrap()).toEqual(sent);
+    expect(decodeFleetFrame(bytes).isErr()).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/options_test.ts
@@ -0,0 +1,48 @@
+/**
+ * Tests of the settings of the gateway daemon.
+ */
+import { describe, expect, it } from "vitest";
+import { parseGatewayOptions } from "./options.ts";
+
+const GOOD = {
+  instance: {
+    name: "entry-1",
+    failureDomain: "a",
+    callAddress: "10.0.0.1:80",
+    readinessAddress: "10.0.0.1:81",
+    directoryAddress: "10.0.0.1:82",
+    meshAddress: "10.0.0.1:83",
+    datagramAddress: "10.0.0.1:84",
+    metricsAddress: "10.0.0.1:85",
+  },
+  seeds: ["10.0.0.1:83"],
+  discovery: { source: "store", address: "10.0.0.9:80" },
+  protocol: "marigoldford",
+  bounds: {
+    graceSeconds: 6,
+    directoryAnswerSeconds: 5,
+    retryShare: 0.2,
+    retryAllowance: 56,
+    retryWindowSeconds: 10,
+    probesPerSecond: 60,
+  },
+};
+
+describe("parseGatewayOptions", () => {
+  it("takes good settings and passes over unknown keys", () => {
+    expect(parseGatewayOptions({ ...GOOD, later: 1 }).isOk()).toBe(true);
+  });
+
+  it("names every fault with its path", () => {
+    const result = parseGatewayOptions({
+      ...GOOD,
+      seeds: ["nowhere"],
+      bounds: { ...GOOD.bounds, graceSeconds: -1, retryShare: "much" },
+    });
+    const { kind, detail } = result._unsafeUnwrapErr();
+    expect(kind).toBe("options-invalid");
+    expect(detail).toContain('["seeds"][0]');
+    expect(detail).toContain('["bounds"]["graceSeconds"]');
+    expect(detail).toContain('["bounds"]["retryShare"]');
+  });
+});
--- a/scripts/run_checks.mjs
+++ b/scripts/run_checks.mjs
@@ -49,6 +49,7 @@
   [BINARIES + "deno", ["fmt", "--check", "--quiet"]],
   [BINARIES + "deno", ["lint", "--quiet"]],
   [BINARIES + "tsc", ["-b"]],
+  ["node", ["scripts/check_platform_names.mjs"]],
   ["node", ["packages/model/dist/check_all.js"]],
 ];
 
