Fill servers a quarter above their slots; learn and share stragglers

Change: room is the slots and a quarter; a server that takes over 2.5 times the expected time is judged by that multiple, fading by half in 2 s, shared with load reports.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -51,14 +51,14 @@
     why: string;
     candidates: number;
   })
-  | {
+  | (PlacementBelief & {
     event: "attempt-failed";
     request: string;
     server: string;
     evidence: string;
     detail?: string;
     elapsedMilliseconds: number;
-  }
+  })
   | {
     event: "request-refused" | "request-failed";
     request: string;
@@ -68,6 +68,9 @@
     attempts: number;
     elapsedMilliseconds: number;
     configurationVersion: number;
+    /** Backend servers of the service, and requests that wait for them. */
+    servers: number;
+    waiting: number;
     retryAfterSeconds?: number;
   }
   | {
--- a/packages/gateway/src/load_block.ts
+++ b/packages/gateway/src/load_block.ts
@@ -3,7 +3,7 @@
  *
  * Counts: four bytes of server tag and one of requests in flight. Reports:
  * four bytes of tag, one running, one waiting, one slots, one slowdown in
- * tenths, one age in units of two milliseconds.
+ * tenths, one age in units of two milliseconds, one learned pace in tenths.
  */
 import { Buffer } from "node:buffer";
 import type { ServerReport } from "@marigoldford/kernel/server_load";
@@ -13,12 +13,14 @@
   readonly tag: number;
   readonly report: ServerReport;
   readonly ageMilliseconds: number;
+  /** What the sender has learned of the server's pace. */
+  readonly pace: number;
 };
 
 const COUNT_BYTES = 5;
-const REPORT_BYTES = 9;
+const REPORT_BYTES = 10;
 const MOST = 255;
-const SLOWDOWN_STEPS = 10;
+const TENTHS = 10;
 const AGE_STEP_MILLISECONDS = 2;
 
 function byte(value: number): number {
@@ -48,14 +50,15 @@
 
 export function encodeReports(reports: readonly TaggedReport[]): Buffer {
   const block = Buffer.allocUnsafe(reports.length * REPORT_BYTES);
-  reports.forEach(({ tag, report, ageMilliseconds }, index) => {
+  reports.forEach(({ tag, report, ageMilliseconds, pace }, index) => {
     const at = index * REPORT_BYTES;
     block.writeUInt32BE(tag, at);
     block.writeUInt8(byte(report.running), at + 4);
     block.writeUInt8(byte(report.waiting), at + 5);
     block.writeUInt8(byte(report.slots), at + 6);
-    block.writeUInt8(byte(report.slowdown * SLOWDOWN_STEPS), at + 7);
+    block.writeUInt8(byte(report.slowdown * TENTHS), at + 7);
     block.writeUInt8(byte(ageMilliseconds / AGE_STEP_MILLISECONDS), at + 8);
+    block.writeUInt8(byte(pace * TENTHS), at + 9);
   });
   return block;
 }
@@ -70,9 +73,10 @@
         running: block.readUInt8(at + 4),
         waiting: block.readUInt8(at + 5),
         slots: block.readUInt8(at + 6),
-        slowdown: block.readUInt8(at + 7) / SLOWDOWN_STEPS,
+        slowdown: block.readUInt8(at + 7) / TENTHS,
       },
       ageMilliseconds: block.readUInt8(at + 8) * AGE_STEP_MILLISECONDS,
+      pace: block.readUInt8(at + 9) / TENTHS,
     });
   }
   return reports;
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -119,10 +119,9 @@
   #takeReports(datagram: LoadDatagram): void {
     const now = this.#options.clock();
     for (const each of decodeReports(datagram.reports)) {
-      this.#options.servers.findByTag(each.tag)?.load.noteReport(
-        each.report,
-        now - each.ageMilliseconds,
-      );
+      const server = this.#options.servers.findByTag(each.tag)?.load;
+      server?.noteReport(each.report, now - each.ageMilliseconds);
+      server?.notePeerPace(each.pace, now);
     }
   }
 
@@ -176,12 +175,14 @@
   #reports(reported: ReadonlySet<ServerLoad>): TaggedReport[] {
     const now = this.#options.clock();
     const reports: TaggedReport[] = [];
-    for (const { registration, lastReport } of reported) {
+    for (const server of reported) {
+      const { registration, lastReport } = server;
       if (lastReport === undefined) continue;
       reports.push({
         tag: serverTag(registration.id),
         report: lastReport,
         ageMilliseconds: now - lastReport.atMilliseconds,
+        pace: server.pace(now),
       });
     }
     return reports;
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -41,8 +41,6 @@
 const LATE_HEDGE_INTERVAL_MILLISECONDS = 100;
 /** A second send is a gamble; large answers do not cross for it. */
 const MOST_HEDGE_CROSSING_OBJECTIVES = 0.3;
-/** An attempt that takes this multiple of its expected time is overdue. */
-const OVERDUE_FACTOR = 2.5;
 /** A target gets a little less than what is left, for the way back. */
 const WAY_BACK_MILLISECONDS = 2;
 /** Callers may come back after this when no server can be named. */
@@ -92,7 +90,8 @@
   #serversReached = 0;
   #attempts = 0;
   #route!: SnapshotRoute;
-  #service!: ServiceName;
+  /** Empty until the request has a route. */
+  #service: ServiceName = "";
   #body!: RequestBody;
   #deadlineAtMilliseconds = Infinity;
   #timer: ReturnType<typeof setTimeout> | undefined;
@@ -316,11 +315,10 @@
         onFailure: (made, evidence) => this.#onFailure(made, evidence),
       },
     });
-    const expected = placement.expectedMilliseconds;
-    server.noteStart(
-      attempt,
-      attempt.startedAtMilliseconds + OVERDUE_FACTOR * expected,
-    );
+    server.noteStart(attempt, {
+      startedAtMilliseconds: attempt.startedAtMilliseconds,
+      expectedMilliseconds: placement.expectedMilliseconds,
+    });
     this.#context.onInFlightChange(server);
     this.#running.add({ attempt, placement });
     if (why !== "first") this.#logAttempt(attempt, placement, why);
@@ -622,6 +620,7 @@
       evidence: evidence.kind,
       detail,
       elapsedMilliseconds: Math.round(attempt.elapsedMilliseconds),
+      ...attempt.belief,
     });
   }
 
@@ -723,6 +722,8 @@
       attempts: this.#attempts,
       elapsedMilliseconds: Math.round(this.#elapsed),
       configurationVersion: this.#context.router.snapshot?.version ?? 0,
+      servers: this.#context.servers.ofService(this.#service).length,
+      waiting: this.#context.lineOf(this.#service).length,
       retryAfterSeconds: retryAfterSeconds === undefined
         ? undefined
         : Math.round(retryAfterSeconds * MILLISECONDS_IN_SECOND) /
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -70,6 +70,8 @@
 /** Servers work more slowly above this share of their slots. */
 const KNEE_OCCUPANCY = 0.8;
 const KNEE_SLOWDOWN = 1.7;
+/** Requests that may wait at a server, as a part of its slots. */
+const WAITING_PART = 0.25;
 /** Slowdown in the first seconds of a server's life. */
 const COLD_SLOWDOWN = 2;
 /** Requests beside a new one have half of their work left. */
@@ -83,13 +85,11 @@
 const BYTES_IN_MEGABYTE = 1_000_000;
 
 /**
- * Requests that a server is given at the most. Beyond the knee a server with
- * many slots answers fewer in a second than just below it. One with few slots
- * answers the most when another request waits for the slot that ends next.
+ * Requests that a server is given at the most. A few wait there for the slot
+ * that ends next, so that none stands idle until an entry learns of its end.
  */
 export function concurrencyLimit(slots: number): number {
-  const belowKnee = Math.floor(KNEE_OCCUPANCY * slots);
-  return belowKnee >= slots / KNEE_SLOWDOWN ? belowKnee : slots + 1;
+  return slots + Math.ceil(slots * WAITING_PART);
 }
 
 /** Expected time to a whole answer from a server. */
@@ -101,7 +101,7 @@
   const { now, staleView } = view;
   const load = server.load(now);
   let pace = server.slowdown(now, STALE_SLOWDOWN[staleView]) *
-    server.overdueFactor(now);
+    server.pace(now);
   if (isBeyondKnee(load + 1, server.slots)) pace *= KNEE_SLOWDOWN;
   if (server.isCold(now)) pace *= COLD_SLOWDOWN;
   const ahead = Math.max(0, load + 1 - server.slots);
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -26,6 +26,12 @@
   | "silent"
   | "no-verdict";
 
+/** An attempt of this entry, and how long it should take. */
+export type OwnAttempt = {
+  readonly startedAtMilliseconds: number;
+  readonly expectedMilliseconds: number;
+};
+
 type DatedReport = ServerReport & { readonly atMilliseconds: number };
 type PeerCount = { readonly count: number; readonly atMilliseconds: number };
 
@@ -37,6 +43,14 @@
 const SLOWDOWN_MEMORY_MILLISECONDS = 300;
 /** Peers repeat what they have in flight well within this time. */
 const PEER_COUNT_MILLISECONDS = 1_000;
+/**
+ * Beyond this multiple of the expected time a server straggles. Requests of a
+ * route differ in size, and a slow phase may begin midway; neither reaches it.
+ */
+const STRAGGLING_PACE = 2.5;
+const MOST_PACE = 12;
+/** What was learned of a server's pace is forgotten by half in this time. */
+const PACE_HALF_LIFE_MILLISECONDS = 2_000;
 /** Failures are forgotten by half in this time. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 2_000;
 /** Weight of the newest outcome in the share of failures. */
@@ -50,8 +64,9 @@
 
 export class ServerLoad {
   registration: ServerRegistration;
-  /** Own attempts under way, with the time by which each should have ended. */
-  readonly #dueAt = new Map<object, number>();
+  readonly #ownAttempts = new Map<object, OwnAttempt>();
+  #pace = 1;
+  #paceAtMilliseconds = 0;
   /** Own attempts that were started since the last report. */
   #sentSinceReport = 0;
   #report: DatedReport | undefined;
@@ -80,7 +95,7 @@
   }
 
   get ownInFlight(): number {
-    return this.#dueAt.size;
+    return this.#ownAttempts.size;
   }
 
   get isHealthBad(): boolean {
@@ -155,23 +170,50 @@
   }
 
   /** Notes an own attempt; `attempt` is named again when it ends. */
-  noteStart(attempt: object, dueAtMilliseconds: number): void {
-    this.#dueAt.set(attempt, dueAtMilliseconds);
+  noteStart(attempt: object, own: OwnAttempt): void {
+    this.#ownAttempts.set(attempt, own);
     this.#sentSinceReport += 1;
   }
 
   noteEnd(attempt: object, verdict: ServerVerdict, now: number): void {
-    this.#dueAt.delete(attempt);
+    const own = this.#ownAttempts.get(attempt);
+    this.#ownAttempts.delete(attempt);
+    if (own !== undefined) this.#learnPace(paceOf(own, now), verdict, now);
     this.noteVerdict(verdict, now);
   }
 
-  /** Grows with own attempts that should have ended by now. */
-  overdueFactor(now: number): number {
-    let factor = 1;
-    for (const dueAt of this.#dueAt.values()) {
-      if (dueAt < now) factor += 1;
+  /** Takes what a peer has learned of the server's pace. */
+  notePeerPace(pace: number, now: number): void {
+    if (pace <= this.#learnedPace(now)) return;
+    this.#pace = Math.min(MOST_PACE, pace);
+    this.#paceAtMilliseconds = now;
+  }
+
+  /**
+   * Time that requests take here as a multiple of what was expected: 1 unless
+   * one was far slower lately, or is overdue now.
+   */
+  pace(now: number): number {
+    let pace = this.#learnedPace(now);
+    for (const own of this.#ownAttempts.values()) {
+      const present = paceOf(own, now);
+      if (present > STRAGGLING_PACE) pace = Math.max(pace, present);
     }
-    return factor;
+    return Math.min(MOST_PACE, pace);
+  }
+
+  #learnPace(pace: number, verdict: ServerVerdict, now: number): void {
+    const known = this.#learnedPace(now);
+    if (pace > STRAGGLING_PACE) this.#pace = Math.max(known, pace);
+    else if (verdict === "answered") this.#pace = 1 + (known - 1) / 2;
+    else return;
+    this.#pace = Math.min(MOST_PACE, this.#pace);
+    this.#paceAtMilliseconds = now;
+  }
+
+  #learnedPace(now: number): number {
+    const age = now - this.#paceAtMilliseconds;
+    return 1 + (this.#pace - 1) * 2 ** (-age / PACE_HALF_LIFE_MILLISECONDS);
   }
 
   noteVerdict(verdict: ServerVerdict, now: number): void {
@@ -209,3 +251,8 @@
     );
   }
 }
+
+function paceOf(own: OwnAttempt, now: number): number {
+  return (now - own.startedAtMilliseconds) /
+    Math.max(1, own.expectedMilliseconds);
+}
