--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -26,7 +26,7 @@
   readonly self: Omit<MemberRecord, "counter" | "state">;
   /** Datagram addresses of seeds, read anew at each use. */
   readonly seeds: () => readonly Address[];
-  readonly port: DatagramPort;
+  readonly port: Pick<DatagramPort, "send">;
   readonly news: () => DiscoveryNews;
   readonly writeEvent: WriteEvent;
 };
