Test a told entry that is not chosen to watch

Cause: the entry under test ranked first by rendezvous hashing, so it watched by right (10 calls in 10 s). Ruled out: a fault of the keeper; the rank was 0. Change: the test takes the entry that ranks last; its bound stays.

--- a/packages/gateway/src/discovery_keeper_test.ts
+++ b/packages/gateway/src/discovery_keeper_test.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
+import { rankMembers } from "@marigoldford/kernel/rendezvous";
 import { DiscoveryKeeper, type ServiceAnswer } from "./discovery_keeper.ts";
 import type { DiscoveryFailure, DiscoverySource } from "./discovery_source.ts";
 
@@ -91,7 +92,7 @@
       newsBoundMilliseconds: 1_250,
       returnMilliseconds: 2_300,
     },
-    self: "self",
+    self: members[0],
     members: () => members,
     onChange: () => {},
     onAnswer: (answer) => answers.push(answer),
@@ -196,9 +197,9 @@
 });
 
 describe("an entry that others tell", () => {
-  // Enough others that two of them rank before `self` by rendezvous hashing.
-  const others = Array.from({ length: 40 }, (_, index) => `entry-${index}`);
-  const members = ["self", ...others];
+  // The entry under test is the last that would be chosen to watch.
+  const members = rankMembers("discovery-watcher", ["a", "b", "c", "d"])
+    .reverse();
 
   it("does not call the service while news is fresh", async () => {
     const { service, keeper } = setUp(members);
