Count an outage by its length, and pass on the freshest members first

Cause: the first answer of a process, and the first own answer of an entry that falls back on its own watch (news 2.35 s old), counted as the end of an outage; servers removed within 2.3 s after it were kept, up to 0.3 s beyond drain_s. Random records made fleets of 50 and more lose sight of live members. Change: an outage is 3 s without news, and needs something known before; records heard of last go first, and larger fleets allow more silence. Conclusion: the keeper is mended, larger fleets are not.

--- a/packages/gateway/src/discovery_keeper.ts
+++ b/packages/gateway/src/discovery_keeper.ts
@@ -49,8 +49,12 @@
   readonly returnMilliseconds: number;
 };
 
-/** Without news for this long, registrations may have expired meanwhile. */
-const OUTAGE_MILLISECONDS = 2_000;
+/**
+ * Without news for this long, registrations may have expired meanwhile: they
+ * last for three heartbeats of more than a second. An entry that falls back on
+ * its own watch has news again well before.
+ */
+const OUTAGE_MILLISECONDS = 3_000;
 const IDLE_CHECK_MILLISECONDS = 50;
 const BACK_OFF_START_MILLISECONDS = 100;
 const BACK_OFF_LIMIT_MILLISECONDS = 800;
@@ -168,7 +172,8 @@
   }
 
   #takeAnswer(take: () => DiscoveryChange[]): void {
-    if (this.newsAgeMilliseconds > OUTAGE_MILLISECONDS) {
+    const isFirst = this.state.revision === 0;
+    if (!isFirst && this.newsAgeMilliseconds > OUTAGE_MILLISECONDS) {
       this.state.noteReturn(this.#now());
     }
     const changes = take();
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -39,13 +39,23 @@
 /** Later they are asked at times, to mend a split. */
 const SEED_EVERY_ROUNDS = 8;
 /** Several rounds of gossip; callers retry elsewhere sooner. */
-const SILENCE_MILLISECONDS = 2_500;
+const LEAST_SILENCE_MILLISECONDS = 2_500;
+/** Up to this size a datagram carries the whole fleet. */
+const WHOLE_FLEET = 18;
+/** Beyond it news takes some rounds more each time that the fleet doubles. */
+const SILENCE_FOR_DOUBLING_MILLISECONDS = 1_500;
 const FORGET_MILLISECONDS = 12_000;
 /** Records in one datagram; it stays below a usual packet. */
 const MOST_RECORDS = 24;
 /** A farewell is repeated, as datagrams may be lost. */
 const FAREWELLS = 3;
 
+function silenceMilliseconds(fleetSize: number): number {
+  const doublings = Math.max(0, Math.log2(fleetSize / WHOLE_FLEET));
+  return LEAST_SILENCE_MILLISECONDS +
+    doublings * SILENCE_FOR_DOUBLING_MILLISECONDS;
+}
+
 export class Fleet {
   readonly members: FleetMembers;
   readonly #options: FleetOptions;
@@ -59,7 +69,7 @@
     this.members = new FleetMembers({
       clock: options.clock,
       self: () => this.#record(),
-      silenceMilliseconds: SILENCE_MILLISECONDS,
+      silenceMilliseconds,
       forgetMilliseconds: FORGET_MILLISECONDS,
     });
   }
@@ -134,13 +144,9 @@
     return [...picked];
   }
 
-  /** Own record first, then a random part of the live ones. */
+  /** Own record first, then those that were heard of last. */
   #records(): MemberRecord[] {
     const peers = this.members.alivePeers();
-    for (let index = peers.length - 1; index > 0; index--) {
-      const other = Math.floor(this.#options.random() * (index + 1));
-      [peers[index], peers[other]] = [peers[other], peers[index]];
-    }
     return [this.#record(), ...peers.slice(0, MOST_RECORDS - 1)];
   }
 
--- a/packages/kernel/src/fleet_members.ts
+++ b/packages/kernel/src/fleet_members.ts
@@ -23,8 +23,8 @@
 export type FleetMembersOptions = {
   readonly clock: Clock;
   readonly self: () => MemberRecord;
-  /** Without news for this long a member counts as dead. */
-  readonly silenceMilliseconds: number;
+  /** Without news for this long a member of such a fleet counts as dead. */
+  readonly silenceMilliseconds: (fleetSize: number) => number;
   /** Dead members still count in shared budgets for this long. */
   readonly forgetMilliseconds: number;
 };
@@ -68,17 +68,19 @@
     return changes;
   }
 
-  /** Peers heard of lately that have not stopped. */
+  /** Peers that have not stopped, those heard of last first. */
   alivePeers(): MemberRecord[] {
     const now = this.#options.clock();
-    const { silenceMilliseconds } = this.#options;
-    const alive: MemberRecord[] = [];
-    for (const { record, heardAtMilliseconds } of this.#known.values()) {
-      if (record.state === "stopped") continue;
-      if (now - heardAtMilliseconds > silenceMilliseconds) continue;
-      alive.push(record);
+    const silence = this.#silenceMilliseconds();
+    const alive: KnownMember[] = [];
+    for (const known of this.#known.values()) {
+      if (known.record.state === "stopped") continue;
+      if (now - known.heardAtMilliseconds <= silence) alive.push(known);
     }
-    return alive;
+    alive.sort((left, right) =>
+      right.heardAtMilliseconds - left.heardAtMilliseconds
+    );
+    return alive.map(({ record }) => record);
   }
 
   /** This entry and its live peers. */
@@ -94,6 +96,7 @@
   /** Notices members that fell silent and forgets those long dead. */
   sweep(): MembershipChange[] {
     const now = this.#options.clock();
+    const silence = this.#silenceMilliseconds();
     const changes: MembershipChange[] = [];
     for (const [incarnation, known] of this.#known) {
       const silent = now - known.heardAtMilliseconds;
@@ -101,7 +104,7 @@
         this.#known.delete(incarnation);
         this.#lost.delete(incarnation);
       } else if (
-        silent > this.#options.silenceMilliseconds &&
+        silent > silence &&
         !this.#lost.has(incarnation)
       ) {
         this.#lost.add(incarnation);
@@ -112,6 +115,10 @@
     return changes;
   }
 
+  #silenceMilliseconds(): number {
+    return this.#options.silenceMilliseconds(this.#known.size + 1);
+  }
+
   /** A new run at an address means that the run before it has ended. */
   #dropEarlierRuns(record: MemberRecord): void {
     for (const [incarnation, known] of this.#known) {
--- a/packages/kernel/src/fleet_members_test.ts
+++ b/packages/kernel/src/fleet_members_test.ts
@@ -22,7 +22,7 @@
   const members = new FleetMembers({
     clock: () => time.now,
     self: () => member({}),
-    silenceMilliseconds: 2_000,
+    silenceMilliseconds: () => 2_000,
     forgetMilliseconds: 10_000,
   });
   return { time, members };
