--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -65,8 +65,10 @@
   | "attempt-broken"
   | "time-out";
 
+/** Why an attempt is made; a hedge runs beside an attempt, a retry after. */
 type AttemptReason = "first" | "retry" | "hedge";
 
+/** The entry's own answer, where no answer of a server can be given. */
 type Refusal = {
   readonly status: number;
   readonly cause: RefusalCause;
@@ -87,7 +89,9 @@
   readonly #running = new Set<RunningAttempt>();
   readonly #tried = new Set<string>();
   readonly #proofs: RunProof[] = [];
+  /** Servers to which a byte was handed, as the route bounds them. */
   #serversReached = 0;
+  /** Attempts made, for the log; some never reached a server. */
   #attempts = 0;
   #route!: SnapshotRoute;
   /** Empty until the request has a route. */
@@ -96,6 +100,7 @@
   #deadlineAtMilliseconds = Infinity;
   #timer: ReturnType<typeof setTimeout> | undefined;
   #hedgeTimer: ReturnType<typeof setTimeout> | undefined;
+  /** What was wrong with the last answer that could not be used. */
   #lastUnusable: string | undefined;
   #ticketInLine: Ticket | undefined;
   #isReturning = false;
