Tell of the whole fleet in heartbeats of nine bytes

Change: datagrams carry 64 heartbeats, half of them the freshest and half drawn; records go out while they are news and to those that ask ("who"). Of two runs at an address the one heard of last counts; before, an old record could drop the new run.

--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -1,9 +1,10 @@
 /**
  * Membership: who tells whom, and how often.
  *
- * Each interval an entry passes its records to one random peer of its own
+ * Each interval an entry passes heartbeats to one random peer of its own
  * failure domain and to one of all, so that the messages of an entry do not
- * grow with the fleet. Changes of its own state are told to everyone at once.
+ * grow with the fleet. Whole records go out while they are news, and to those
+ * that ask. Changes of its own state are told to everyone at once.
  */
 import {
   FleetMembers,
@@ -19,6 +20,8 @@
 import type { DatagramPort } from "./datagram_port.ts";
 import type { WriteEvent } from "./events.ts";
 import type { DiscoveryNews, FleetDatagram } from "./fleet_messages.ts";
+import { decodeHeartbeats, encodeHeartbeats } from "./member_block.ts";
+import { shortTag } from "./short_tag.ts";
 
 export type FleetOptions = {
   readonly clock: Clock;
@@ -32,6 +35,7 @@
 };
 
 type MembersDatagram = Extract<FleetDatagram, { kind: "members" }>;
+type WhoDatagram = Extract<FleetDatagram, { kind: "who" }>;
 
 const GOSSIP_MILLISECONDS = 400;
 /** While nobody is known seeds are asked this often. */
@@ -40,18 +44,26 @@
 const SEED_EVERY_ROUNDS = 8;
 /** Several rounds of gossip; callers retry elsewhere sooner. */
 const LEAST_SILENCE_MILLISECONDS = 2_500;
-/** Up to this size a datagram carries the whole fleet. */
-const WHOLE_FLEET = 18;
-/** Beyond it news takes some rounds more each time that the fleet doubles. */
-const SILENCE_FOR_DOUBLING_MILLISECONDS = 1_500;
+/** Heartbeats in one datagram; they take half of a usual packet. */
+const MOST_HEARTBEATS = 64;
+/** Up to this size news is with everyone after a few rounds. */
+const SMALL_FLEET = 18;
+/** Beyond it news takes some rounds more for each doubling. */
+const SILENCE_FOR_DOUBLING_MILLISECONDS = 1_200;
 const FORGET_MILLISECONDS = 12_000;
-/** Records in one datagram; it stays below a usual packet. */
-const MOST_RECORDS = 24;
+/** A record is passed on unasked while it is news for some of the fleet. */
+const NEWS_MILLISECONDS = 2_000;
+/** Records in one datagram; with heartbeats it stays below a usual packet. */
+const MOST_RECORDS = 4;
+/** An answer to the question for records is back long before. */
+const ASK_AGAIN_MILLISECONDS = 300;
+/** Records in an answer to the question for them; it is a usual packet. */
+const MOST_ASKED_RECORDS = 8;
 /** A farewell is repeated, as datagrams may be lost. */
 const FAREWELLS = 3;
 
 function silenceMilliseconds(fleetSize: number): number {
-  const doublings = Math.max(0, Math.log2(fleetSize / WHOLE_FLEET));
+  const doublings = Math.max(0, Math.log2(fleetSize / SMALL_FLEET));
   return LEAST_SILENCE_MILLISECONDS +
     doublings * SILENCE_FOR_DOUBLING_MILLISECONDS;
 }
@@ -62,6 +74,8 @@
   #state: EntryState = "starting";
   #counter = 1;
   #round = 0;
+  /** When the records of strangers were asked for, by tag. */
+  readonly #asked = new Map<number, number>();
   #timer: ReturnType<typeof setTimeout> | undefined;
 
   constructor(options: FleetOptions) {
@@ -71,6 +85,7 @@
       self: () => this.#record(),
       silenceMilliseconds,
       forgetMilliseconds: FORGET_MILLISECONDS,
+      tagOf: shortTag,
     });
   }
 
@@ -101,8 +116,36 @@
 
   take(datagram: MembersDatagram, sender: Address): void {
     this.#log(this.members.note(datagram.records));
-    if (!datagram.wantsReply) return;
-    this.#send([sender], this.#records(), false);
+    const heartbeats = decodeHeartbeats(datagram.heartbeats);
+    const heard = this.members.noteHeartbeats(heartbeats);
+    this.#log(heard.changes);
+    this.#askWho(heard.unknownTags, sender);
+    if (datagram.wantsReply) this.#send([sender], this.#records(), false);
+  }
+
+  /** Answers who the members are that the sender does not know. */
+  answerWho({ tags }: WhoDatagram, sender: Address): void {
+    const records = this.members.recordsOf(tags);
+    for (let at = 0; at < records.length; at += MOST_ASKED_RECORDS) {
+      const part = records.slice(at, at + MOST_ASKED_RECORDS);
+      this.#send([sender], part, false);
+    }
+  }
+
+  /** Asks for the records of strangers, unless that was asked just now. */
+  #askWho(strangers: readonly number[], sender: Address): void {
+    const now = this.#options.clock();
+    for (const [tag, askedAt] of this.#asked) {
+      if (now - askedAt > ASK_AGAIN_MILLISECONDS) this.#asked.delete(tag);
+    }
+    const tags = strangers.filter((tag) => !this.#asked.has(tag));
+    if (tags.length === 0) return;
+    for (const tag of tags) this.#asked.set(tag, now);
+    this.#options.port.send([sender], {
+      kind: "who",
+      from: this.#options.self.incarnation,
+      tags,
+    });
   }
 
   #record(): MemberRecord {
@@ -144,10 +187,13 @@
     return [...picked];
   }
 
-  /** Own record first, then those that were heard of last. */
+  /** Own record first, then the newest of the fleet. */
   #records(): MemberRecord[] {
-    const peers = this.members.alivePeers();
-    return [this.#record(), ...peers.slice(0, MOST_RECORDS - 1)];
+    const since = this.#options.clock() - NEWS_MILLISECONDS;
+    return [
+      this.#record(),
+      ...this.members.newsSince(since, MOST_RECORDS - 1),
+    ];
   }
 
   #send(
@@ -159,6 +205,9 @@
       kind: "members",
       from: this.#options.self.incarnation,
       records,
+      heartbeats: encodeHeartbeats(
+        this.members.heartbeatsToTell(MOST_HEARTBEATS, this.#options.random),
+      ),
       news: this.#options.news(),
       wantsReply,
     });
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -22,11 +22,20 @@
   | {
     readonly kind: "members";
     readonly from: string;
+    /** The sender and those that are new in the fleet. */
     readonly records: readonly MemberRecord[];
+    /** See `member_block.ts`. */
+    readonly heartbeats: Uint8Array;
     readonly news: DiscoveryNews;
     /** Asks the receiver to answer with what it knows. */
     readonly wantsReply: boolean;
   }
+  | {
+    /** Asks for the records of members that the sender does not know. */
+    readonly kind: "who";
+    readonly from: string;
+    readonly tags: readonly number[];
+  }
   | {
     readonly kind: "news";
     readonly from: string;
@@ -69,7 +78,7 @@
   readonly detail: string;
 };
 
-const DATAGRAM_KINDS = new Set(["members", "news", "load", "crash"]);
+const DATAGRAM_KINDS = new Set(["members", "who", "news", "load", "crash"]);
 const FRAME_KINDS = new Set(["changes", "reading-request", "reading"]);
 
 export function encodeFleetMessage(
--- a/packages/gateway/src/fleet_test.ts
+++ b/packages/gateway/src/fleet_test.ts
@@ -28,22 +28,23 @@
   const random = () => uniformFloat64(generator);
   const nodes = new Map<string, Node>();
   const addressOf = (index: number) => `10.0.${index >> 8}.${index & 255}:1`;
+  const deliver = (to: string, datagram: FleetDatagram, from: string) => {
+    const receiver = nodes.get(to);
+    if (receiver === undefined || !receiver.isUp) return;
+    if (datagram.kind === "members") receiver.fleet.take(datagram, from);
+    else if (datagram.kind === "who") receiver.fleet.answerWho(datagram, from);
+  };
   for (let index = 0; index < size; index++) {
     const address = addressOf(index);
     const send = (to: readonly string[], datagram: FleetDatagram) => {
       const bytes = encodeFleetMessage(datagram).byteLength;
-      for (const target of to) {
-        node.sent += 1;
-        node.bytes += bytes;
-        if (!node.isUp || random() < LOSS) continue;
-        setTimeout(() => {
-          const receiver = nodes.get(target);
-          if (receiver === undefined || !receiver.isUp) return;
-          if (datagram.kind === "members") {
-            receiver.fleet.take(datagram, address);
-          }
-        }, DELAY_MILLISECONDS);
-      }
+      node.sent += to.length;
+      node.bytes += bytes * to.length;
+      const reached = to.filter(() => node.isUp && random() >= LOSS);
+      if (reached.length === 0) return;
+      setTimeout(() => {
+        for (const target of reached) deliver(target, datagram, address);
+      }, DELAY_MILLISECONDS);
     };
     const fleet = new Fleet({
       clock: () => Date.now(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -548,6 +548,9 @@
         this.#fleet.take(datagram, sender);
         this.#takeNews(datagram.news, sender);
         return;
+      case "who":
+        this.#fleet.answerWho(datagram, sender);
+        return;
       case "news":
         this.#takeNews(datagram.news, sender);
         return;
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -18,7 +18,7 @@
   encodeReports,
   type TaggedReport,
 } from "./load_block.ts";
-import { type ServerTable, serverTag } from "./server_table.ts";
+import type { ServerTable } from "./server_table.ts";
 
 export type LoadExchangeSettings = {
   /** Pause between messages inside the failure domain. */
@@ -175,14 +175,14 @@
   #reports(reported: ReadonlySet<ServerLoad>): TaggedReport[] {
     const now = this.#options.clock();
     const reports: TaggedReport[] = [];
-    for (const server of reported) {
-      const { registration, lastReport } = server;
-      if (lastReport === undefined) continue;
+    for (const { load, tag } of this.#options.servers.all()) {
+      const { lastReport } = load;
+      if (lastReport === undefined || !reported.has(load)) continue;
       reports.push({
-        tag: serverTag(registration.id),
+        tag,
         report: lastReport,
         ageMilliseconds: now - lastReport.atMilliseconds,
-        pace: server.pace(now),
+        pace: load.pace(now),
       });
     }
     return reports;
--- /dev/null
+++ b/packages/gateway/src/member_block_test.ts
@@ -0,0 +1,27 @@
+/**
+ * Tests of the blocks of heartbeats.
+ */
+import { describe, expect, it } from "vitest";
+import { decodeHeartbeats, encodeHeartbeats } from "./member_block.ts";
+
+describe("blocks of heartbeats", () => {
+  it("carry tag, counter and state", () => {
+    const heartbeats = [
+      { tag: 0xffffffff, counter: 7, state: "serving" },
+      { tag: 0, counter: 4_000_000_000, state: "stopped" },
+    ] as const;
+    expect(decodeHeartbeats(encodeHeartbeats(heartbeats))).toEqual(heartbeats);
+  });
+
+  it("are read as far as they go, without unknown states", () => {
+    const block = encodeHeartbeats([
+      { tag: 1, counter: 1, state: "serving" },
+      { tag: 2, counter: 1, state: "serving" },
+      { tag: 3, counter: 1, state: "leaving" },
+    ]);
+    block.writeUInt8(99, 8);
+    expect(decodeHeartbeats(block.subarray(0, -1)).map(({ tag }) => tag))
+      .toEqual([2]);
+    expect(decodeHeartbeats(new Uint8Array())).toEqual([]);
+  });
+});
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -2,12 +2,12 @@
  * The backend servers that an entry may use, by service, with what it
  * believes about their load and its connections to them.
  */
-import { createHash } from "node:crypto";
 import type { DiscoveryState } from "@marigoldford/kernel/discovery_state";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
 import { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { ServiceName } from "@marigoldford/kernel/types";
 import { ServerConnections } from "./server_connections.ts";
+import { shortTag } from "./short_tag.ts";
 
 export type UsableServer = {
   readonly load: ServerLoad;
@@ -22,11 +22,6 @@
   readonly maximumSockets: number;
 };
 
-/** A 32-bit tag of a server id; entries compute the same one. */
-export function serverTag(id: string): number {
-  return createHash("sha1").update(id).digest().readUInt32BE(0);
-}
-
 /** A change of an id, its start or its address makes it another server. */
 function isSameRun(left: ServerRegistration, right: ServerRegistration) {
   return left.bornAtMilliseconds === right.bornAtMilliseconds &&
@@ -101,7 +96,7 @@
     this.#servers.set(registration.id, {
       load: new ServerLoad(registration, now),
       connections: new ServerConnections(this.#options),
-      tag: serverTag(registration.id),
+      tag: shortTag(registration.id),
     });
   }
 
--- a/packages/kernel/src/fleet_members.ts
+++ b/packages/kernel/src/fleet_members.ts
@@ -5,9 +5,18 @@
  * counter is news, whoever passes it on. A run without news for a while is
  * believed dead by this side of a partition, and only by this side.
  */
-import type { Address, Clock, EntryState, FailureDomain } from "./types.ts";
+import type {
+  Address,
+  Clock,
+  EntryState,
+  FailureDomain,
+  RandomSource,
+} from "./types.ts";
 
-/** What entries tell each other of an entry. */
+/** Part of the heartbeats told that are the freshest ones. */
+const FRESHEST_PART = 0.5;
+
+/** What entries know of an entry. */
 export type MemberRecord = {
   readonly incarnation: string;
   readonly callAddress: Address;
@@ -18,7 +27,27 @@
   readonly counter: number;
 };
 
-type KnownMember = { record: MemberRecord; heardAtMilliseconds: number };
+/** The part of a record that changes, with a short name for the rest. */
+export type MemberHeartbeat = {
+  /** Tag of the incarnation. */
+  readonly tag: number;
+  readonly counter: number;
+  readonly state: EntryState;
+};
+
+/** What heartbeats tell; records of the unknown ones have to be asked for. */
+export type HeardHeartbeats = {
+  readonly changes: readonly MembershipChange[];
+  readonly unknownTags: readonly number[];
+};
+
+type KnownMember = {
+  record: MemberRecord;
+  readonly tag: number;
+  heardAtMilliseconds: number;
+  /** When the member was first heard of or last changed its state. */
+  changedAtMilliseconds: number;
+};
 
 export type FleetMembersOptions = {
   readonly clock: Clock;
@@ -27,6 +56,8 @@
   readonly silenceMilliseconds: (fleetSize: number) => number;
   /** Dead members still count in shared budgets for this long. */
   readonly forgetMilliseconds: number;
+  /** Short name of an incarnation in heartbeats. */
+  readonly tagOf: (incarnation: string) => number;
 };
 
 export type MembershipChange = {
@@ -37,50 +68,141 @@
 export class FleetMembers {
   readonly #options: FleetMembersOptions;
   readonly #known = new Map<string, KnownMember>();
+  readonly #byTag = new Map<number, string>();
   readonly #lost = new Set<string>();
+  readonly #ownTag: number;
   #seenAtOnce = 1;
 
   constructor(options: FleetMembersOptions) {
     this.#options = options;
+    this.#ownTag = options.tagOf(options.self().incarnation);
   }
 
-  /** Takes what a peer passed on; returns the changes of belief. */
+  /** Takes records that a peer passed on; returns the changes of belief. */
   note(records: readonly MemberRecord[]): MembershipChange[] {
     const changes: MembershipChange[] = [];
     const own = this.#options.self().incarnation;
     for (const record of records) {
       if (record.incarnation === own) continue;
       const known = this.#known.get(record.incarnation);
-      if (known !== undefined && known.record.counter >= record.counter) {
-        continue;
-      }
-      const heardAtMilliseconds = this.#options.clock();
-      if (known === undefined) this.#dropEarlierRuns(record);
-      this.#known.set(record.incarnation, { record, heardAtMilliseconds });
-      const wasLost = this.#lost.delete(record.incarnation);
-      if (known === undefined || wasLost) {
-        changes.push({ kind: "joined", record });
-      } else if (known.record.state !== record.state) {
-        changes.push({ kind: "state-changed", record });
-      }
+      if (known !== undefined) changes.push(...this.#renew(known, record));
+      else changes.push(this.#join(record));
     }
-    this.#seenAtOnce = Math.max(this.#seenAtOnce, this.#known.size + 1);
     return changes;
   }
 
-  /** Peers that have not stopped, those heard of last first. */
-  alivePeers(): MemberRecord[] {
+  /** Takes heartbeats that a peer passed on. */
+  noteHeartbeats(heartbeats: readonly MemberHeartbeat[]): HeardHeartbeats {
+    const changes: MembershipChange[] = [];
+    const unknownTags: number[] = [];
+    for (const { tag, counter, state } of heartbeats) {
+      if (tag === this.#ownTag) continue;
+      const known = this.#known.get(this.#byTag.get(tag) ?? "");
+      if (known === undefined) {
+        if (state !== "stopped") unknownTags.push(tag);
+      } else {
+        changes.push(...this.#renew(known, { counter, state }));
+      }
+    }
+    return { changes, unknownTags };
+  }
+
+  #join(record: MemberRecord): MembershipChange {
     const now = this.#options.clock();
-    const silence = this.#silenceMilliseconds();
-    const alive: KnownMember[] = [];
+    const tag = this.#options.tagOf(record.incarnation);
+    this.#known.set(record.incarnation, {
+      record,
+      tag,
+      heardAtMilliseconds: now,
+      changedAtMilliseconds: now,
+    });
+    this.#byTag.set(tag, record.incarnation);
+    this.#seenAtOnce = Math.max(this.#seenAtOnce, this.#countEntries());
+    return { kind: "joined", record };
+  }
+
+  #renew(
+    known: KnownMember,
+    { counter, state }: Pick<MemberRecord, "counter" | "state">,
+  ): MembershipChange[] {
+    if (known.record.counter >= counter) return [];
+    const hasNewState = known.record.state !== state;
+    const record = { ...known.record, counter, state };
+    known.record = record;
+    known.heardAtMilliseconds = this.#options.clock();
+    const wasLost = this.#lost.delete(record.incarnation);
+    if (hasNewState || wasLost) {
+      known.changedAtMilliseconds = known.heardAtMilliseconds;
+    }
+    if (wasLost) return [{ kind: "joined", record }];
+    return hasNewState ? [{ kind: "state-changed", record }] : [];
+  }
+
+  /**
+   * Peers that have not stopped. Of two runs at an address the one heard of
+   * last counts, as the counter of the other has stopped.
+   */
+  alivePeers(): MemberRecord[] {
+    return [...this.#alive().values()].map(({ record }) => record);
+  }
+
+  #alive(): Map<Address, KnownMember> {
+    const since = this.#options.clock() - this.#silenceMilliseconds();
+    const alive = new Map<Address, KnownMember>();
     for (const known of this.#known.values()) {
-      if (known.record.state === "stopped") continue;
-      if (now - known.heardAtMilliseconds <= silence) alive.push(known);
+      const { record, heardAtMilliseconds } = known;
+      if (record.state === "stopped" || heardAtMilliseconds < since) continue;
+      const other = alive.get(record.meshAddress);
+      const isLater = other === undefined ||
+        heardAtMilliseconds >= other.heardAtMilliseconds;
+      if (isLater) alive.set(record.meshAddress, known);
     }
-    alive.sort((left, right) =>
+    return alive;
+  }
+
+  /**
+   * Own heartbeat, those of peers that were heard of last, and in the last
+   * part some of the others, as they may be news to a peer all the same.
+   */
+  heartbeatsToTell(count: number, random: RandomSource): MemberHeartbeat[] {
+    const { counter, state } = this.#options.self();
+    const peers = [...this.#alive().values()].sort((left, right) =>
       right.heardAtMilliseconds - left.heardAtMilliseconds
     );
-    return alive.map(({ record }) => record);
+    const told = peers.splice(0, Math.ceil(count * FRESHEST_PART) - 1);
+    while (told.length < count - 1 && peers.length > 0) {
+      const index = Math.floor(random() * peers.length);
+      told.push(...peers.splice(index, 1));
+    }
+    return [
+      { tag: this.#ownTag, counter, state },
+      ...told.map(({ tag, record }) => ({
+        tag,
+        counter: record.counter,
+        state: record.state,
+      })),
+    ];
+  }
+
+  /** Records that are news of the last while, the newest first. */
+  newsSince(milliseconds: number, count: number): MemberRecord[] {
+    const news = [...this.#alive().values()].filter(
+      ({ changedAtMilliseconds }) => changedAtMilliseconds > milliseconds,
+    );
+    news.sort((left, right) =>
+      right.changedAtMilliseconds - left.changedAtMilliseconds
+    );
+    return news.slice(0, count).map(({ record }) => record);
+  }
+
+  /** Records of members that a peer does not know. */
+  recordsOf(tags: readonly number[]): MemberRecord[] {
+    const self = this.#options.self();
+    return tags.flatMap((tag) => {
+      if (tag === this.#ownTag) return [self];
+      const known = this.#known.get(this.#byTag.get(tag) ?? "");
+      return known === undefined ? [] : [known.record];
+    });
   }
 
   /** This entry and its live peers. */
@@ -102,6 +224,7 @@
       const silent = now - known.heardAtMilliseconds;
       if (silent > this.#options.forgetMilliseconds) {
         this.#known.delete(incarnation);
+        this.#byTag.delete(known.tag);
         this.#lost.delete(incarnation);
       } else if (
         silent > silence &&
@@ -111,7 +234,7 @@
         changes.push({ kind: "lost", record: known.record });
       }
     }
-    this.#seenAtOnce = Math.max(1, this.#known.size + 1);
+    this.#seenAtOnce = this.#countEntries();
     return changes;
   }
 
@@ -119,11 +242,12 @@
     return this.#options.silenceMilliseconds(this.#known.size + 1);
   }
 
-  /** A new run at an address means that the run before it has ended. */
-  #dropEarlierRuns(record: MemberRecord): void {
-    for (const [incarnation, known] of this.#known) {
-      if (known.record.meshAddress !== record.meshAddress) continue;
-      this.#known.delete(incarnation);
+  /** This entry and its peers; two runs at an address are one entry. */
+  #countEntries(): number {
+    const addresses = new Set([this.#options.self().meshAddress]);
+    for (const { record } of this.#known.values()) {
+      addresses.add(record.meshAddress);
     }
+    return addresses.size;
   }
 }
--- a/packages/kernel/src/fleet_members_test.ts
+++ b/packages/kernel/src/fleet_members_test.ts
@@ -24,11 +24,12 @@
     self: () => member({}),
     silenceMilliseconds: () => 2_000,
     forgetMilliseconds: 10_000,
+    tagOf: (incarnation) => incarnation.length,
   });
   return { time, members };
 }
 
-const PEER = member({ incarnation: "peer", meshAddress: "10.0.0.2:81" });
+const PEER = member({ incarnation: "peer-1", meshAddress: "10.0.0.2:81" });
 
 describe("FleetMembers", () => {
   it("believes a peer alive as long as its counter rises", () => {
@@ -70,4 +71,51 @@
     expect(change.kind).toBe("state-changed");
     expect(members.alivePeers()).toHaveLength(0);
   });
+
+  it("renews members by heartbeats and names those it does not know", () => {
+    const { time, members } = setUp();
+    members.note([PEER]);
+    time.now = 1_500;
+    const heard = members.noteHeartbeats([
+      { tag: PEER.incarnation.length, counter: 2, state: "leaving" },
+      { tag: 77, counter: 9, state: "serving" },
+      { tag: 78, counter: 9, state: "stopped" },
+    ]);
+    expect(heard.unknownTags).toEqual([77]);
+    expect(heard.changes.map(({ kind }) => kind)).toEqual(["state-changed"]);
+    time.now = 3_000;
+    expect(members.alivePeers()).toHaveLength(1);
+  });
+
+  it("lets of two runs at an address the one count that still counts", () => {
+    const { time, members } = setUp();
+    const next = { ...PEER, incarnation: "again" };
+    members.note([next]);
+    time.now = 100;
+    members.note([PEER]);
+    time.now = 400;
+    members.note([{ ...next, counter: 2 }]);
+    expect(members.alivePeers().map(({ incarnation }) => incarnation))
+      .toEqual(["again"]);
+    expect(members.budgetDivisor()).toBe(2);
+  });
+
+  it("tells its own heartbeat first, then fresh ones and some others", () => {
+    const { time, members } = setUp();
+    const peers = Array.from({ length: 20 }, (_, index) =>
+      member({
+        incarnation: "peer".padEnd(5 + index, "."),
+        meshAddress: `10.0.1.${index}:81`,
+      }));
+    for (const [index, peer] of peers.entries()) {
+      time.now = index;
+      members.note([peer]);
+    }
+    const told = members.heartbeatsToTell(9, () => 0);
+    expect(told.map(({ tag }) => tag)).toEqual(
+      [4, 24, 23, 22, 21, 20, 19, 18, 17],
+    );
+    const last = members.heartbeatsToTell(9, () => 0.999);
+    expect(last.map(({ tag }) => tag)).toEqual([4, 24, 23, 22, 21, 5, 6, 7, 8]);
+  });
 });
