Split the exchange of a request by concern; hold heads to the configured limit

Change: admission, request_body, answer_writer, exchange_log, hedge_timer and the kernel's attempt_history are modules of their own; an answer with an error status counts as proof that the request may have run from the moment it arrives. Heads beyond the limit get 431. Late lines tell how long the request waited before its first attempt. Measured: tests of the kernel, the gateway and the whole path pass; the new one failed before (200 for a head of 17 kB under a limit of 16 KiB).

--- /dev/null
+++ b/packages/gateway/src/answer_writer.ts
@@ -0,0 +1,104 @@
+/**
+ * Writes the one answer of an exchange to its caller.
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { copyHeaders } from "./header_lists.ts";
+import type { StreamedAnswer, WholeAnswer } from "./server_attempt.ts";
+
+export type AnswerWriterOptions = {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Whether the caller may keep its connection after the answer. */
+  readonly keepsConnection: () => boolean;
+};
+
+export class AnswerWriter {
+  readonly #options: AnswerWriterOptions;
+
+  constructor(options: AnswerWriterOptions) {
+    this.#options = options;
+  }
+
+  get hasBegun(): boolean {
+    return this.#options.response.headersSent;
+  }
+
+  /** Hands on an answer of a backend server that was collected. */
+  writeWhole({ head, body }: WholeAnswer): void {
+    const raw = copyHeaders(head.rawHeaders, new Set(["content-length"]));
+    const status = statusOf(head);
+    const hasBody = this.#options.request.method !== "HEAD" &&
+      status !== 204 && status !== 304;
+    if (hasBody) {
+      raw.push("Content-Length", String(body.byteLength));
+    } else if (head.headers["content-length"] !== undefined) {
+      raw.push("Content-Length", head.headers["content-length"]);
+    }
+    this.#writeHead(status, head.statusMessage, raw);
+    this.#options.response.end(hasBody ? body : undefined);
+  }
+
+  /**
+   * Hands on an answer while it arrives, as fast as the caller reads it.
+   * `onEnd` is called with its size once all of it has arrived; the answer is
+   * then still to be ended by `end` or `cut`.
+   */
+  writeStream(
+    { head, chunks }: StreamedAnswer,
+    onEnd: (bytes: number) => void,
+  ): void {
+    const { response } = this.#options;
+    this.#writeHead(
+      statusOf(head),
+      head.statusMessage,
+      copyHeaders(head.rawHeaders, new Set()),
+    );
+    for (const chunk of chunks) response.write(chunk);
+    let bytes = chunks.reduce((sum, part) => sum + part.byteLength, 0);
+    head.on("data", (chunk: Buffer) => {
+      bytes += chunk.byteLength;
+      if (response.write(chunk)) return;
+      head.pause();
+      response.once("drain", () => head.resume());
+    });
+    head.on("end", () => onEnd(bytes));
+    head.resume();
+  }
+
+  /** Writes an answer of the entry's own. */
+  writeOwn(status: number, headers: string[], text: string): void {
+    const body = Buffer.from(`${text}\n`);
+    this.#writeHead(status, undefined, [
+      ...headers,
+      "Content-Type",
+      "text/plain",
+      "Content-Length",
+      String(body.byteLength),
+    ]);
+    this.#options.response.end(body);
+  }
+
+  /** Ends a streamed answer that is complete. */
+  end(): void {
+    this.#options.response.end();
+  }
+
+  /** Closes the connection, so that a begun answer does not look complete. */
+  cut(): void {
+    this.#options.response.destroy();
+  }
+
+  #writeHead(status: number, message: string | undefined, raw: string[]): void {
+    const { response } = this.#options;
+    if (!this.#options.keepsConnection()) {
+      response.shouldKeepAlive = false;
+      raw.push("Connection", "close");
+    }
+    response.writeHead(status, message, raw as never);
+  }
+}
+
+export function statusOf(head: IncomingMessage): number {
+  return head.statusCode ?? 502;
+}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -91,6 +91,8 @@
     server: string;
     attempts: number;
     elapsedMilliseconds: number;
+    /** Part of it before the first attempt. */
+    waitedMilliseconds: number;
     objectiveMilliseconds: number;
   })
   | {
--- /dev/null
+++ b/packages/gateway/src/exchange_log.ts
@@ -0,0 +1,128 @@
+/**
+ * Log lines and counters of one request, with the inputs of each decision.
+ */
+import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
+import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
+import type { ServiceName } from "@marigoldford/kernel/types";
+import type { Refusal } from "./admission.ts";
+import type { ExchangeContext } from "./exchange_context.ts";
+import type { ServerAttempt } from "./server_attempt.ts";
+
+/** What the lines tell of the request so far. */
+export type Progress = {
+  readonly attempts: number;
+  readonly elapsedMilliseconds: number;
+  /** Time that it waited for room, up to its first attempt. */
+  readonly waitedMilliseconds: number;
+};
+
+export class ExchangeLog {
+  readonly #context: ExchangeContext;
+  readonly #request: string;
+
+  constructor(context: ExchangeContext, requestId: string) {
+    this.#context = context;
+    this.#request = requestId;
+  }
+
+  attemptStarted(
+    attempt: ServerAttempt,
+    why: string,
+    candidates: number,
+  ): void {
+    this.#context.writeEvent({
+      event: "attempt-started",
+      request: this.#request,
+      server: attempt.server.registration.id,
+      why,
+      candidates,
+      ...attempt.belief,
+    });
+  }
+
+  attemptFailed(attempt: ServerAttempt, evidence: AttemptEvidence): void {
+    this.#context.metrics.noteAttemptFailure(evidence.kind);
+    this.#context.writeEvent({
+      event: "attempt-failed",
+      request: this.#request,
+      server: attempt.server.registration.id,
+      evidence: evidence.kind,
+      detail: detailOf(evidence),
+      elapsedMilliseconds: Math.round(attempt.elapsedMilliseconds),
+      ...attempt.belief,
+    });
+  }
+
+  answered(
+    attempt: ServerAttempt,
+    status: number,
+    route: SnapshotRoute,
+    progress: Progress,
+  ): void {
+    const { elapsedMilliseconds: elapsed, attempts } = progress;
+    const { objectiveMilliseconds, name } = route;
+    const isLate = elapsed > objectiveMilliseconds;
+    this.#context.metrics.noteAnswer(name, elapsed, { isLate, status });
+    if (!isLate) return;
+    this.#context.writeEvent({
+      event: "request-late",
+      request: this.#request,
+      server: attempt.server.registration.id,
+      attempts,
+      elapsedMilliseconds: Math.round(elapsed),
+      waitedMilliseconds: Math.round(progress.waitedMilliseconds),
+      objectiveMilliseconds,
+      ...attempt.belief,
+    });
+  }
+
+  cut(attempt: ServerAttempt, { elapsedMilliseconds }: Progress): void {
+    this.#context.metrics.noteOutcome("cut");
+    this.#context.writeEvent({
+      event: "answer-cut",
+      request: this.#request,
+      server: attempt.server.registration.id,
+      elapsedMilliseconds: Math.round(elapsedMilliseconds),
+    });
+  }
+
+  callerLeft({ attempts, elapsedMilliseconds }: Progress): void {
+    this.#context.metrics.noteOutcome("caller-left");
+    this.#context.writeEvent({
+      event: "caller-left",
+      request: this.#request,
+      attempts,
+      elapsedMilliseconds: Math.round(elapsedMilliseconds),
+    });
+  }
+
+  refused(
+    { status, retryAfterSeconds, route }: Refusal,
+    reason: string,
+    { attempts, elapsedMilliseconds }: Progress,
+    service: ServiceName | undefined,
+  ): void {
+    const isRefusal = status === 503;
+    this.#context.metrics.noteOutcome(isRefusal ? "refused" : "failed");
+    const { servers, router } = this.#context;
+    this.#context.writeEvent({
+      event: isRefusal ? "request-refused" : "request-failed",
+      request: this.#request,
+      route: route?.name,
+      status,
+      reason,
+      attempts,
+      elapsedMilliseconds: Math.round(elapsedMilliseconds),
+      configurationVersion: router.snapshot?.version ?? 0,
+      servers: service === undefined ? 0 : servers.ofService(service).length,
+      waiting: service === undefined ? 0 : this.#context.lineOf(service).length,
+      retryAfterSeconds,
+    });
+  }
+}
+
+function detailOf(evidence: AttemptEvidence): string | undefined {
+  if (evidence.kind === "unusable-answer") return evidence.why;
+  if (evidence.kind === "refused-by-server") return String(evidence.status);
+  return undefined;
+}
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -8,8 +8,8 @@
 import type { ExchangeContext } from "./exchange_context.ts";
 import { RequestExchange } from "./request_exchange.ts";
 
-/** Larger heads are refused with 431 by Node. */
-const MAXIMUM_HEADER_BYTES = 32 * 1024;
+/** Bounds the memory for a head; the configuration sets a lower limit. */
+const MAXIMUM_HEADER_BYTES = 128 * 1024;
 /** Callers reuse connections for most of the idle time-out, never past it. */
 const IDLE_MARGIN_MILLISECONDS = 1_000;
 const CHECK_CONNECTIONS_MILLISECONDS = 1_000;
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -14,6 +14,7 @@
 import type { Placement } from "@marigoldford/kernel/placement";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import { type CallerProtocol, headerText } from "./caller_protocol.ts";
+import type { RequestBody } from "./request_body.ts";
 import {
   checkEnd,
   hasSocketFailed,
@@ -21,15 +22,6 @@
   watchForFailure,
 } from "./server_connections.ts";
 
-/** A body that is at hand, or one that still arrives. */
-export type RequestBody =
-  | { readonly kind: "whole"; readonly bytes: Buffer }
-  | {
-    readonly kind: "stream";
-    readonly head: readonly Buffer[];
-    readonly source: IncomingMessage;
-  };
-
 export type AttemptOptions = {
   readonly server: ServerLoad;
   readonly placement: Placement;
@@ -63,7 +55,7 @@
   /** The head of any answer has arrived; called before it is judged. */
   readonly onHead: (attempt: ServerAttempt, answer: IncomingMessage) => void;
   readonly onWhole: (attempt: ServerAttempt, answer: WholeAnswer) => void;
-  /** From here on `onChunk` and `onStreamEnd` follow. */
+  /** Reading the rest and judging its end is left to the receiver. */
   readonly onStream: (attempt: ServerAttempt, answer: StreamedAnswer) => void;
   /** The attempt ended without a whole answer. */
   readonly onFailure: (
