Check the attempts of a request by model, with broken variants

Change: three servers run, refuse, break, stay silent or answer in any order, also after their attempt has ended; whether another attempt follows and what the caller is told is the kernel's AttemptHistory. Three properties hold; five broken variants (a broken connection, a time-out or an unusable answer taken as proof, hedges of requests that may run once, unbounded attempts) each have a counterexample. In `npm run model` and in the tests.

--- a/packages/model/src/check_all.ts
+++ b/packages/model/src/check_all.ts
@@ -2,6 +2,7 @@
  * Runs every model check and prints states, bounds and verdicts.
  */
 import process from "node:process";
+import { checkAttempts } from "./attempt_check.ts";
 import { checkProtectedCalls } from "./protected_call_check.ts";
 import { checkIntentions } from "./intention_check.ts";
 import type { CheckReport } from "./explore.ts";
@@ -19,7 +20,11 @@
   process.stdout.write(`  trace: ${report.counterexample.join(" > ")}\n`);
 }
 
-const reports = [...checkProtectedCalls(), ...checkIntentions()];
+const reports = [
+  ...checkProtectedCalls(),
+  ...checkIntentions(),
+  ...checkAttempts(),
+];
 let failures = 0;
 for (const report of reports) {
   print(report);
