--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -79,7 +79,7 @@
 /** Requests that may wait at a server, as a part of its slots. */
 const WAITING_PART = 0.25;
 /** Sizes differ and slow phases end, so a little over is in time often enough. */
-const IN_TIME_PART = 1.2;
+const IN_TIME_FACTOR = 1.2;
 /** Slowdown in the first seconds of a server's life. */
 const COLD_SLOWDOWN = 2;
 /** Requests beside a new one have half of their work left. */
@@ -105,7 +105,7 @@
  * `objectiveLeftMilliseconds` is left of the objective.
  */
 export function inTimeBound(objectiveLeftMilliseconds: number): number {
-  return IN_TIME_PART * objectiveLeftMilliseconds;
+  return IN_TIME_FACTOR * objectiveLeftMilliseconds;
 }
 
 /** Time that work takes beside `load` other requests, 1 is alone. */
