Use one piece of code for listening, members and test registrations

Cause: a reading of the whole change found things written twice or left over. Ruled out: joining the two membership kinds (EntryDirectory tells ages, the gateway counters) and the settings schemas (only one takes IPv6 addresses). Change: three servers open through listenAt; FleetMembers keeps one map by tag and a mark in place of three maps; the members that stay are named once; WaitingLine.hasBefore was countBefore above zero; tests build registrations in one fixture. Gone: a counter in news datagrams that nobody read, an unused status, an unused parameter, the server beside its placement in an attempt's options, a comment of a field that is gone. The table of servers gets its two settings and not all of them.

--- a/packages/gateway/src/discovery_keeper.ts
+++ b/packages/gateway/src/discovery_keeper.ts
@@ -25,7 +25,6 @@
   readonly onChange: (changes: readonly DiscoveryChange[]) => void;
   /** Tells peers what the service has just answered. */
   readonly onAnswer: (answer: ServiceAnswer) => void;
-  /** Asks a peer that knows more for everything. */
   readonly writeEvent: WriteEvent;
   readonly onCall: (outcome: string) => void;
 };
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -29,6 +29,6 @@
   readonly isAccepting: () => boolean;
   /** Whether callers may keep their connections after an answer. */
   readonly keepsConnections: () => boolean;
-  readonly onInFlightChange: (server: ServerLoad) => void;
+  readonly onInFlightChange: () => void;
   readonly onReport: (server: ServerLoad) => void;
 };
--- a/packages/gateway/src/exchange_log.ts
+++ b/packages/gateway/src/exchange_log.ts
@@ -55,14 +55,13 @@
 
   answered(
     attempt: ServerAttempt,
-    status: number,
     route: SnapshotRoute,
     progress: Progress,
   ): void {
     const { elapsedMilliseconds: elapsed, attempts } = progress;
     const { objectiveMilliseconds, name } = route;
     const isLate = elapsed > objectiveMilliseconds;
-    this.#context.metrics.noteAnswer(name, elapsed, { isLate, status });
+    this.#context.metrics.noteAnswer(name, elapsed, isLate);
     if (!isLate) return;
     this.#context.writeEvent({
       event: "request-late",
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -40,7 +40,6 @@
     readonly kind: "news";
     readonly from: string;
     readonly news: DiscoveryNews;
-    readonly counter: number;
   }
   | {
     readonly kind: "load";
--- a/packages/gateway/src/frame_links.ts
+++ b/packages/gateway/src/frame_links.ts
@@ -19,6 +19,7 @@
   encodeFleetMessage,
   type FleetFrame,
 } from "./fleet_messages.ts";
+import { listenAt } from "./listening.ts";
 
 export type FrameReply = (frame: FleetFrame) => void;
 
@@ -48,14 +49,7 @@
   }
 
   open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.listenAddress);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port }, () => {
-        this.#server.off("error", reject);
-        resolve();
-      });
-    });
+    return listenAt(this.#server, this.#options.listenAddress);
   }
 
   send(to: Address, frame: FleetFrame): void {
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -2,10 +2,10 @@
  * The HTTP server for callers, and how it stops without cutting a request.
  */
 import { createServer, type Server } from "node:http";
-import { splitAddress } from "@marigoldford/kernel/address";
 import type { RequestLimits } from "@marigoldford/kernel/routing_snapshot";
 import type { Address, Clock } from "@marigoldford/kernel/types";
 import type { ExchangeContext } from "./exchange_context.ts";
+import { listenAt } from "./listening.ts";
 import { RequestExchange } from "./request_exchange.ts";
 
 /** Bounds the memory for a head; the configuration sets a lower limit. */
@@ -53,14 +53,7 @@
   }
 
   open(address: Address): Promise<void> {
-    const { host, port } = splitAddress(address);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
-        this.#server.off("error", reject);
-        resolve();
-      });
-    });
+    return listenAt(this.#server, address, { backlog: BACKLOG });
   }
 
   /** A longer idle time counts at once; connections keep theirs. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import { entriesForCaller } from "@marigoldford/kernel/entry_answer";
+import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
@@ -141,7 +142,6 @@
   readonly #startedAt = performance.now();
   #readingAskedAt = -Infinity;
   #leaveAt = Infinity;
-  #newsCounter = 0;
   #timeOfDayOffset = Date.now() - performance.now();
 
   constructor(options: GatewayOptions, parts: GatewayParts) {
@@ -150,7 +150,7 @@
     this.#readSeeds = parts.readSeeds;
     const clock = this.#clock;
     const { instance } = options;
-    this.#servers = new ServerTable({ clock, ...TUNING });
+    this.#servers = new ServerTable({ clock, ...TUNING.connections });
     this.#pauses = new PauseDetector(clock, PAUSE_MILLISECONDS);
     this.#port = new DatagramPort({
       address: instance.datagramAddress,
@@ -171,9 +171,7 @@
       random: Math.random,
       settings: TUNING.discovery,
       self: this.#incarnation,
-      members: () =>
-        this.#fleet.members.alive().filter(({ state }) => state !== "leaving")
-          .map(({ incarnation }) => incarnation),
+      members: () => this.#staying().map(({ incarnation }) => incarnation),
       onChange: (changes) => this.#onDiscovery(changes),
       onAnswer: (answer) => this.#tellPeers(answer),
       writeEvent: this.#writeEvent,
@@ -196,8 +194,7 @@
       budget: new RateBudget(clock, () => this.#probesPerSecond()),
       protocol: parts.protocol,
       servers: this.#servers,
-      members: () =>
-        this.#fleet.members.alive().filter(({ state }) => state !== "leaving"),
+      members: () => this.#staying(),
       healthPathOf: (service) => this.#router.service(service)?.healthPath,
       onReport: (server) => this.#load.noteReport(server),
       onProbe: () => this.#metrics.count("probes"),
@@ -327,6 +324,13 @@
     });
   }
 
+  /** Entries that take on work of the fleet; one that leaves does not. */
+  #staying(): MemberRecord[] {
+    return this.#fleet.members.alive().filter(({ state }) =>
+      state !== "leaving"
+    );
+  }
+
   /** Seeds as the settings name them now; ports are the same everywhere. */
   #seedAddresses(): Address[] {
     const { port } = splitAddress(this.#options.instance.datagramAddress);
@@ -364,7 +368,7 @@
           this.#graceMilliseconds - LAST_REQUESTS_MILLISECONDS),
       keepsConnections: () => !Number.isFinite(this.#leaveAt),
       crashes: this.#crashes,
-      onInFlightChange: (server) => this.#load.noteInFlight(server),
+      onInFlightChange: () => this.#load.noteInFlight(),
       onReport: (server) => this.#load.noteReport(server),
     };
   }
@@ -434,12 +438,10 @@
   ): void {
     const peers = this.#fleet.members.alivePeers();
     if (answer.changes.length === 0) {
-      this.#newsCounter += 1;
       this.#port.send(peers.map(({ datagramAddress }) => datagramAddress), {
         kind: "news",
         from: this.#incarnation,
         news: this.#keeper.news,
-        counter: this.#newsCounter,
       });
       return;
     }
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -69,8 +69,8 @@
     clearInterval(this.#farTimer);
   }
 
-  /** The number in flight at a server has changed. */
-  noteInFlight(_server: ServerLoad): void {
+  /** The number in flight at some server has changed. */
+  noteInFlight(): void {
     this.#hasFarChange = true;
     this.#schedule();
   }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -27,10 +27,10 @@
   noteAnswer(
     route: string,
     milliseconds: number,
-    answer: { isLate: boolean; status: number },
+    isLate: boolean,
   ): void {
     this.noteOutcome("answered");
-    if (answer.isLate) this.noteOutcome("late");
+    if (isLate) this.noteOutcome("late");
     this.#histogramOf(route).recordValue(
       Math.min(HIGHEST_MILLISECONDS, Math.max(1, Math.round(milliseconds))),
     );
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -272,7 +272,6 @@
     this.#history.noteStart(id);
     if (why === "first") this.#waitedMilliseconds = this.#elapsed;
     const attempt = new ServerAttempt({
-      server,
       placement,
       connections: usable.connections,
       protocol: this.#context.protocol,
@@ -291,7 +290,7 @@
       },
     });
     server.noteStart(attempt);
-    this.#context.onInFlightChange(server);
+    this.#context.onInFlightChange();
     this.#running.add(attempt);
     if (why !== "first") this.#log.attemptStarted(attempt, why, candidateCount);
     if (this.#history.mayHedge(this.#limits)) this.#hedgeTimer.start();
@@ -360,7 +359,7 @@
     if (status >= 500 && this.#retryAfterServerError()) return;
     this.#finish();
     this.#writer.writeWhole(answer);
-    this.#log.answered(attempt, status, this.#route, this.#progress);
+    this.#log.answered(attempt, this.#route, this.#progress);
   }
 
   /** A server's own error may be mended by another server. */
@@ -388,7 +387,7 @@
       this.#noteAnswer(attempt, status, bytes);
       this.#finish();
       this.#writer.end();
-      this.#log.answered(attempt, status, this.#route, this.#progress);
+      this.#log.answered(attempt, this.#route, this.#progress);
     });
   }
 
@@ -479,7 +478,7 @@
   #release(attempt: ServerAttempt, verdict: ServerVerdict): void {
     this.#running.delete(attempt);
     attempt.server.noteEnd(attempt, verdict, this.#context.clock());
-    this.#context.onInFlightChange(attempt.server);
+    this.#context.onInFlightChange();
     this.#context.services.lineOf(this.#service).noteRoom();
   }
 
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -23,7 +23,6 @@
 } from "./server_connections.ts";
 
 export type AttemptOptions = {
-  readonly server: ServerLoad;
   readonly placement: Placement;
   readonly connections: ServerConnections;
   readonly protocol: CallerProtocol;
@@ -75,10 +74,10 @@
 };
 
 function beliefOf(options: AttemptOptions, now: number): PlacementBelief {
-  const { server, placement } = options;
+  const { server, expectedMilliseconds } = options.placement;
   const { lastReport } = server;
   return {
-    expectedMilliseconds: Math.round(placement.expectedMilliseconds),
+    expectedMilliseconds: Math.round(expectedMilliseconds),
     load: server.load(now),
     slowdown: lastReport?.slowdown,
     reportAgeMilliseconds: lastReport === undefined
@@ -110,7 +109,7 @@
     this.#options = options;
     this.startedAtMilliseconds = options.clock();
     this.belief = beliefOf(options, this.startedAtMilliseconds);
-    const { host, port } = splitAddress(options.server.registration.address);
+    const { host, port } = splitAddress(this.server.registration.address);
     this.#request = request({
       host,
       port,
@@ -125,7 +124,7 @@
   }
 
   get server(): ServerLoad {
-    return this.#options.server;
+    return this.#options.placement.server;
   }
 
   get isOver(): boolean {
--- a/packages/gateway/src/service_line.ts
+++ b/packages/gateway/src/service_line.ts
@@ -29,7 +29,7 @@
 
   /** Whether a new request has to wait behind others. */
   hasBefore(ticket: Ticket): boolean {
-    return this.#line.length > 0 && this.#line.hasBefore(ticket, this.#clock());
+    return this.#line.countBefore(ticket, this.#clock()) > 0;
   }
 
   /** Whether a request is expected to get its turn in time. */
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -9,10 +9,12 @@
 export const TUNING = {
   /** A packet lost on the way in would be sent again after a second. */
   connectTimeoutMilliseconds: 250,
-  /** Backend servers are seen to keep idle connections for ten seconds. */
-  idleMilliseconds: 4_000,
-  /** More than any share of a server's connections; its slots bound the use. */
-  maximumSockets: 64,
+  connections: {
+    /** Backend servers are seen to keep idle connections for ten seconds. */
+    idleMilliseconds: 4_000,
+    /** More than any share of a server's connections; its slots bound the use. */
+    maximumSockets: 64,
+  },
   /** Two ways of a millisecond, and the higher price of bytes of two sites. */
   crossing: { roundTripMilliseconds: 3, objectivesForMegabyte: 25 },
   probe: {
--- a/packages/kernel/src/__fixtures__/played_service.ts
+++ b/packages/kernel/src/__fixtures__/played_service.ts
@@ -19,6 +19,7 @@
 } from "../placement.ts";
 import { RateBudget } from "../rate_budget.ts";
 import { ServerLoad } from "../server_load.ts";
+import { makeRegistration } from "./registration.ts";
 import { type Ticket, WaitingLine } from "../waiting_line.ts";
 
 export type PlayedLoad = {
@@ -112,17 +113,14 @@
       () => service.load.asksPerSecond,
     );
     this.loads = service.servers.map((server, index) =>
-      new ServerLoad({
-        id: String(index),
-        service: "played",
-        address: `10.0.0.${index}:80`,
-        failureDomain: "one",
-        slots: server.slots,
-        state: "ready",
-        warmUpLeftMilliseconds: 0,
-        bornAtMilliseconds: 1,
-        sequence: 1,
-      }, 0)
+      new ServerLoad(
+        makeRegistration({
+          id: String(index),
+          failureDomain: "one",
+          slots: server.slots,
+        }),
+        0,
+      )
     );
   }
 
@@ -140,7 +138,7 @@
         else this.#giveUp(ticket);
       },
     };
-    if (this.line.length > 0 && this.line.hasBefore(ticket, now)) {
+    if (this.line.countBefore(ticket, now) > 0) {
       this.line.add(ticket);
     } else this.#try(ticket);
   }
--- a/packages/kernel/src/discovery_state_test.ts
+++ b/packages/kernel/src/discovery_state_test.ts
@@ -2,6 +2,7 @@
  * Tests of what is believed of the discovery service's word.
  */
 import { describe, expect, it } from "vitest";
+import { makeRegistration } from "./__fixtures__/registration.ts";
 import { type DiscoveryChange, DiscoveryState } from "./discovery_state.ts";
 import type { ServerRegistration } from "./routing_snapshot.ts";
 
@@ -14,18 +15,7 @@
   return {
     kind: "registration",
     revision,
-    registration: {
-      id: "one",
-      service: "web",
-      address: "10.0.0.1:80",
-      failureDomain: "a",
-      slots: 2,
-      state: "ready",
-      warmUpLeftMilliseconds: 0,
-      bornAtMilliseconds: 1_000,
-      sequence: 1,
-      ...given,
-    },
+    registration: makeRegistration(given),
   };
 }
 
--- a/packages/kernel/src/fleet_members.ts
+++ b/packages/kernel/src/fleet_members.ts
@@ -47,6 +47,8 @@
   heardAtMilliseconds: number;
   /** When the member was first heard of or last changed its state. */
   changedAtMilliseconds: number;
+  /** Whether it has been silent for too long. */
+  isLost: boolean;
 };
 
 export type FleetMembersOptions = {
@@ -67,11 +69,10 @@
 
 export class FleetMembers {
   readonly #options: FleetMembersOptions;
-  readonly #known = new Map<string, KnownMember>();
-  readonly #byTag = new Map<number, string>();
-  readonly #lost = new Set<string>();
+  readonly #known = new Map<number, KnownMember>();
   readonly #ownTag: number;
-  #seenAtOnce = 1;
+  /** Entries that are not forgotten, this one included. */
+  #entries = 1;
 
   constructor(options: FleetMembersOptions) {
     this.#options = options;
@@ -81,12 +82,12 @@
   /** Takes records that a peer passed on; returns the changes of belief. */
   note(records: readonly MemberRecord[]): MembershipChange[] {
     const changes: MembershipChange[] = [];
-    const own = this.#options.self().incarnation;
     for (const record of records) {
-      if (record.incarnation === own) continue;
-      const known = this.#known.get(record.incarnation);
+      const tag = this.#options.tagOf(record.incarnation);
+      if (tag === this.#ownTag) continue;
+      const known = this.#known.get(tag);
       if (known !== undefined) changes.push(...this.#renew(known, record));
-      else changes.push(this.#join(record));
+      else changes.push(this.#join(tag, record));
     }
     return changes;
   }
@@ -97,7 +98,7 @@
     const unknownTags: number[] = [];
     for (const { tag, counter, state } of heartbeats) {
       if (tag === this.#ownTag) continue;
-      const known = this.#known.get(this.#byTag.get(tag) ?? "");
+      const known = this.#known.get(tag);
       if (known === undefined) {
         if (state !== "stopped") unknownTags.push(tag);
       } else {
@@ -107,17 +108,16 @@
     return { changes, unknownTags };
   }
 
-  #join(record: MemberRecord): MembershipChange {
+  #join(tag: number, record: MemberRecord): MembershipChange {
     const now = this.#options.clock();
-    const tag = this.#options.tagOf(record.incarnation);
-    this.#known.set(record.incarnation, {
+    this.#known.set(tag, {
       record,
       tag,
       heardAtMilliseconds: now,
       changedAtMilliseconds: now,
+      isLost: false,
     });
-    this.#byTag.set(tag, record.incarnation);
-    this.#seenAtOnce = Math.max(this.#seenAtOnce, this.#countEntries());
+    this.#entries = this.#countEntries();
     return { kind: "joined", record };
   }
 
@@ -130,7 +130,8 @@
     const record = { ...known.record, counter, state };
     known.record = record;
     known.heardAtMilliseconds = this.#options.clock();
-    const wasLost = this.#lost.delete(record.incarnation);
+    const wasLost = known.isLost;
+    known.isLost = false;
     if (hasNewState || wasLost) {
       known.changedAtMilliseconds = known.heardAtMilliseconds;
     }
@@ -200,7 +201,7 @@
     const self = this.#options.self();
     return tags.flatMap((tag) => {
       if (tag === this.#ownTag) return [self];
-      const known = this.#known.get(this.#byTag.get(tag) ?? "");
+      const known = this.#known.get(tag);
       return known === undefined ? [] : [known.record];
     });
   }
@@ -212,7 +213,7 @@
 
   /** Entries that a shared budget is divided by; errs on the high side. */
   budgetDivisor(): number {
-    return this.#seenAtOnce;
+    return this.#entries;
   }
 
   /** Notices members that fell silent and forgets those long dead. */
@@ -220,21 +221,15 @@
     const now = this.#options.clock();
     const silence = this.#silenceMilliseconds();
     const changes: MembershipChange[] = [];
-    for (const [incarnation, known] of this.#known) {
+    for (const [tag, known] of this.#known) {
       const silent = now - known.heardAtMilliseconds;
-      if (silent > this.#options.forgetMilliseconds) {
-        this.#known.delete(incarnation);
-        this.#byTag.delete(known.tag);
-        this.#lost.delete(incarnation);
-      } else if (
-        silent > silence &&
-        !this.#lost.has(incarnation)
-      ) {
-        this.#lost.add(incarnation);
+      if (silent > this.#options.forgetMilliseconds) this.#known.delete(tag);
+      else if (silent > silence && !known.isLost) {
+        known.isLost = true;
         changes.push({ kind: "lost", record: known.record });
       }
     }
-    this.#seenAtOnce = this.#countEntries();
+    this.#entries = this.#countEntries();
     return changes;
   }
 
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -2,6 +2,7 @@
  * Tests of the choice of a backend server.
  */
 import { describe, expect, it } from "vitest";
+import { makeRegistration } from "./__fixtures__/registration.ts";
 import { needsConfirmation } from "./confirmation.ts";
 import {
   concurrencyLimit,
@@ -41,17 +42,15 @@
 
 function server(given: Given): ServerLoad {
   const slots = given.slots ?? 6;
-  const load = new ServerLoad({
-    id: given.id,
-    service: "web",
-    address: "10.0.0.1:80",
-    failureDomain: given.failureDomain ?? "a",
-    slots,
-    state: "ready",
-    warmUpLeftMilliseconds: given.warmUpLeftMilliseconds ?? 0,
-    bornAtMilliseconds: 1,
-    sequence: 1,
-  }, 0);
+  const load = new ServerLoad(
+    makeRegistration({
+      id: given.id,
+      failureDomain: given.failureDomain ?? "a",
+      slots,
+      warmUpLeftMilliseconds: given.warmUpLeftMilliseconds ?? 0,
+    }),
+    0,
+  );
   load.noteReport({
     running: given.running ?? 0,
     waiting: given.waiting ?? 0,
--- a/packages/kernel/src/waiting_line.ts
+++ b/packages/kernel/src/waiting_line.ts
@@ -90,14 +90,6 @@
     }
     return count;
   }
-
-  /** Whether someone waits who goes before this ticket. */
-  hasBefore(ticket: Ticket, now: number): boolean {
-    for (const other of this.#tickets) {
-      if (isBefore(other, ticket, now)) return true;
-    }
-    return false;
-  }
 }
 
 /** Whether no answer is expected in time, whoever else waits. */
