Platform: upload routes, and route types that are not known yet

Cause: `route_type` `upload` was refused, and with it the whole item op/config, so that the fleet served nothing. Entries of the earlier build take any kind but `at-most-once` as one that may be repeated, and would run uploads twice beside entries of this build. Change: `upload` is at-most-once; its bodies are streamed, as all large ones are. An unknown type of one route is treated as at-most-once, logged as discovery-item-assumed, and costs no other route anything: the store holds valid configurations only, so it is newer than the entry. A type that is no text still refuses the configuration.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -108,7 +108,11 @@
     server: string;
     from: string;
   }
-  | { event: "discovery-item-refused"; key: string; detail: string }
+  | {
+    event: "discovery-item-refused" | "discovery-item-assumed";
+    key: string;
+    detail: string;
+  }
   | { event: "peer-message-refused"; peer: string; detail: string };
 
 export type WriteEvent = (event: GatewayEvent) => void;
