Bound what is read from servers that send without end

Cause: seen with a stand-in that sends until the connection closes. Bodies to slow callers: backpressure holds. A chunk size without end ends at the route's timeout as 504: its time and memory are bounded. Small chunks are merged. An answer that declares its length and is complete is delivered whatever follows it.

--- a/packages/client/src/http_client.ts
+++ b/packages/client/src/http_client.ts
@@ -1,9 +1,10 @@
 /**
  * The HTTP client with which the client library sends requests to entries.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import { readAnswer } from "@marigoldford/http_answers/read_answer";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { Address } from "@marigoldford/kernel/types";
 
@@ -29,6 +30,8 @@
 };
 
 const IDLE_TIMEOUT_MILLISECONDS = 2_000;
+/** Answers are held in memory. */
+const MAXIMUM_ANSWER_BYTES = 256 * 1024 * 1024;
 
 /** Adds the length of a body, which Node leaves out for GET. */
 function withContentLength(httpRequest: HttpRequest): Record<string, string> {
@@ -72,19 +75,15 @@
         else socket.once("connect", () => mayHaveSentBytes = true);
       });
       clientRequest.once("error", fail);
-      clientRequest.once("response", (response) => {
-        const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
-        response.once("error", fail);
-        response.once("close", () => {
-          if (!response.complete) return fail(new Error("Answer truncated"));
-          clearTimeout(timer);
-          resolve(ok({
-            status: response.statusCode ?? 0,
-            headers: response.headers,
-            body: Buffer.concat(chunks),
-          }));
-        });
+      clientRequest.once("response", async (response) => {
+        const body = await readAnswer(response, MAXIMUM_ANSWER_BYTES);
+        if (body.isErr()) return fail(new Error(body.error.detail));
+        clearTimeout(timer);
+        resolve(ok({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: body.value,
+        }));
       });
       clientRequest.end(httpRequest.body);
     });
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -13,6 +13,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
+import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
 import type {
   AttemptEnd,
   BackendServerState,
@@ -195,7 +196,7 @@
   }
 
   #refuse(response: IncomingMessage, cause: NotRunCause): void {
-    response.resume();
+    discardAnswer(response);
     this.#finish(END_OF_REFUSAL[cause]);
     this.#settleHead(err({ kind: "refused", cause }));
   }
--- a/packages/entry/src/health_poller.ts
+++ b/packages/entry/src/health_poller.ts
@@ -8,6 +8,7 @@
  * reports a healthy server does not override another source.
  */
 import { get } from "node:http";
+import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { EntryDirectory } from "@marigoldford/kernel/entry_directory";
 import { rankMembers } from "@marigoldford/kernel/rendezvous";
@@ -142,7 +143,7 @@
       timeout: settings.pollTimeoutMilliseconds,
     }, (response) => {
       if (response.headers["backend-state"] === "leaving") onLeaving(address);
-      response.resume();
+      discardAnswer(response);
     });
     request.on("timeout", () => request.destroy());
     request.on("error", () => {});
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -57,8 +57,9 @@
       head.statusMessage,
       copyEndToEndHeaders(head.rawHeaders, new Set()),
     );
-    for (const chunk of chunks) response.write(chunk);
-    let bytes = chunks.reduce((sum, part) => sum + part.byteLength, 0);
+    const buffered = Buffer.concat(chunks);
+    response.write(buffered);
+    let bytes = buffered.byteLength;
     head.on("data", (chunk: Buffer) => {
       bytes += chunk.byteLength;
       if (response.write(chunk)) return;
--- a/packages/gateway/src/probe_connection.ts
+++ b/packages/gateway/src/probe_connection.ts
@@ -20,6 +20,8 @@
 const HEAD_END = "\r\n\r\n";
 /** Answers to health checks have a few hundred bytes of headers. */
 const MAXIMUM_HEAD_BYTES = 8 * 1024;
+/** Longer bodies are not worth reading to keep the connection. */
+const MAXIMUM_BODY_BYTES = 8 * 1024;
 
 export class ProbeConnection {
   readonly address: Address;
@@ -100,6 +102,7 @@
   #keepOrClose({ headers }: AnswerHead, bodyBytes: number): void {
     const length = Number(headers["content-length"] ?? NaN);
     const isKept = Number.isInteger(length) && length >= bodyBytes &&
+      length <= MAXIMUM_BODY_BYTES &&
       headers["transfer-encoding"] === undefined &&
       headers["connection"] !== "close";
     if (isKept) this.#bodyBytesLeft = length - bodyBytes;
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -13,6 +13,8 @@
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
 import type { Placement } from "@marigoldford/kernel/placement";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
+import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
+import { limitBytesBeforeAnswer } from "@marigoldford/http_answers/head_limit";
 import { type CallerProtocol, headerValue } from "./caller_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
 import {
@@ -105,6 +107,14 @@
 
 /** Answers up to this size are buffered before they are forwarded. */
 const MAXIMUM_BUFFERED_ANSWER_BYTES = 128 * 1024;
+/** More chunks are merged, as each takes memory beside its bytes. */
+const MAXIMUM_BUFFERED_CHUNKS = 1_024;
+
+/** Whether the end of an answer is marked other than by a close. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
 
 type AttemptPhase = "connecting" | "sent" | "buffering" | "streaming" | "ended";
 
@@ -114,6 +124,8 @@
   readonly #request: ClientRequest;
   #phase: AttemptPhase = "connecting";
   #socket: Socket | undefined;
+  #answer: IncomingMessage | undefined;
+  #endHeadLimit: () => void = () => {};
   #resetCheck: Promise<void> | undefined;
   #connectTimer: ReturnType<typeof setTimeout> | undefined;
   #headAtMilliseconds: number | undefined;
@@ -197,6 +209,10 @@
 
   #onSocket(socket: Socket): void {
     this.#socket = socket;
+    this.#endHeadLimit = limitBytesBeforeAnswer(
+      socket,
+      (why) => this.#fail({ kind: "unusable-answer", why }),
+    );
     if (!socket.connecting) return this.#onConnected();
     socket.setNoDelay(true);
     trackSocketErrors(socket);
@@ -219,6 +235,7 @@
   }
 
   #onConnectionError(): void {
+    if (this.#isFramedAnswerComplete()) return;
     if (!this.mayHaveSentBytes) return this.#fail({ kind: "not-connected" });
     this.#fail({ kind: "broken", hadAnswerBegun: this.#hasAnswerStarted() });
   }
@@ -227,15 +244,21 @@
     return this.#phase === "buffering" || this.#phase === "streaming";
   }
 
+  /**
+   * Whether all of an answer that declares its length has arrived. What happens
+   * on its connection after that takes nothing from it.
+   */
+  #isFramedAnswerComplete(): boolean {
+    return this.#hasAnswerStarted() && this.#answer !== undefined &&
+      isFramed(this.#answer) && this.#answer.complete;
+  }
+
   /**
    * An answer that is neither chunked nor declares its length ends with its
    * connection; it is complete only if the connection was closed and not reset.
    */
   #checkUnframedEnd(answer: IncomingMessage): void {
-    const { headers } = answer;
-    const isFramed = headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined;
-    if (isFramed || this.#socket === undefined) return;
+    if (isFramed(answer) || this.#socket === undefined) return;
     const socket = this.#socket;
     socket.prependOnceListener(
       "end",
@@ -244,11 +267,13 @@
   }
 
   #onAnswer(answer: IncomingMessage): void {
+    this.#endHeadLimit();
     answer.on("error", () => this.#onConnectionError());
     if (this.hasEnded) {
       answer.destroy();
       return;
     }
+    this.#answer = answer;
     this.#phase = "buffering";
     this.#headAtMilliseconds = this.#options.clock();
     const rejection = this.#rejectionOf(answer);
@@ -272,7 +297,6 @@
     }
     if (isRefusal || (status === 421 && id !== undefined)) {
       this.#options.hooks.onAnswerHead(this, answer);
-      answer.resume();
       return { kind: "refused-by-server", status };
     }
     if (status === 421) return { kind: "refused-by-server", status };
@@ -295,6 +319,9 @@
       if (this.#phase !== "buffering") return;
       chunks.push(chunk);
       bufferedBytes += chunk.byteLength;
+      if (chunks.length > MAXIMUM_BUFFERED_CHUNKS) {
+        chunks.splice(0, chunks.length, Buffer.concat(chunks));
+      }
       if (bufferedBytes <= MAXIMUM_BUFFERED_ANSWER_BYTES) return;
       this.#phase = "streaming";
       answer.pause();
@@ -346,10 +373,13 @@
   #fail(evidence: AttemptEvidence): void {
     if (this.hasEnded) return;
     clearTimeout(this.#connectTimer);
+    this.#endHeadLimit();
     this.#phase = "ended";
     const mayKeepConnection = evidence.kind === "refused-by-server" &&
       this.#request.writableFinished;
-    if (!mayKeepConnection) this.#request.destroy();
+    if (mayKeepConnection && this.#answer !== undefined) {
+      discardAnswer(this.#answer);
+    } else this.#request.destroy();
     this.#options.hooks.onFailure(this, evidence);
   }
 }
