Gateway: learn after which idle time servers drop connections

Cause: a connection that a server dropped without notice is reset at the next send, and an at-most-once request on it is lost as 502: nothing proves that it did not run. An announced timeout shortens the limit.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -204,6 +204,7 @@
     });
     this.#prober = new Prober({
       self: this.#incarnation,
+      failureDomain: instance.failureDomain,
       clock,
       settings: TUNING.probe,
       budget: new RateBudget(clock, () => this.#ownProbesPerSecond()),
@@ -542,6 +543,7 @@
 
   #housekeep(): void {
     this.#discovery.dropExpired();
+    this.#servers.closeExpiredConnections();
     if (!this.#pauseDetector.recordTick() && !this.#hasClockJumped()) return;
     this.#writeEvent({
       event: "pause-noticed",
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -237,6 +237,9 @@
   #onConnectionError(): void {
     if (this.#isFramedAnswerComplete()) return;
     if (!this.mayHaveSentBytes) return this.#fail({ kind: "not-connected" });
+    if (this.#phase === "sent" && this.#socket !== undefined) {
+      this.#options.connections.recordBreak(this.#socket);
+    }
     this.#fail({ kind: "broken", hadAnswerBegun: this.#hasAnswerStarted() });
   }
 
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -3,20 +3,31 @@
  *
  * A connection on which bytes arrive while no request is pending is destroyed:
  * the bytes belong to no request. Idle connections are closed before the server
- * closes them, so that no request is sent on a connection that is being closed.
+ * closes or drops them, so that no request is sent on a connection that is being
+ * closed or no longer exists.
  */
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import type { IdleLimit } from "@marigoldford/kernel/idle_limit";
+import type { Clock } from "@marigoldford/kernel/types";
 
 export type ServerConnectionsOptions = {
+  readonly clock: Clock;
   readonly maximumSockets: number;
-  /** Idle connections are closed after this time. */
+  /** Idle connections are closed after this time at the latest. */
   readonly idleMilliseconds: number;
+  /** Learned limit, which is shared by the servers of a service. */
+  readonly idleLimit: IdleLimit;
 };
 
-type IdleHandler = () => void;
+type IdlePeriod = {
+  readonly destroy: () => void;
+  readonly sinceMilliseconds: number;
+};
 
-const IDLE_HANDLERS = new WeakMap<Socket, IdleHandler>();
+const IDLE_PERIODS = new WeakMap<Socket, IdlePeriod>();
+/** How long the connection of the current request was idle before it. */
+const IDLE_BEFORE_REQUEST = new WeakMap<Socket, number>();
 
 const FAILED_SOCKETS = new WeakSet<Socket>();
 
@@ -50,7 +61,7 @@
 }
 
 export class ServerConnections extends Agent {
-  readonly #idleMilliseconds: number;
+  readonly #options: ServerConnectionsOptions;
   #isDraining = false;
 
   constructor(options: ServerConnectionsOptions) {
@@ -59,8 +70,33 @@
       scheduling: "lifo",
       maxSockets: options.maximumSockets,
       maxFreeSockets: options.maximumSockets,
+      // Node shortens it to what a server announces in its Keep-Alive header.
+      timeout: options.idleMilliseconds,
     });
-    this.#idleMilliseconds = options.idleMilliseconds;
+    this.#options = options;
+  }
+
+  /**
+   * Records that a connection broke during a request, before any byte of an
+   * answer.
+   */
+  recordBreak(socket: Socket): void {
+    const idleMilliseconds = IDLE_BEFORE_REQUEST.get(socket);
+    if (idleMilliseconds === undefined) return;
+    this.#options.idleLimit.recordDropped(idleMilliseconds);
+  }
+
+  /** Closes connections that have been idle for longer than the limit. */
+  closeExpired(): void {
+    const since = this.#options.clock() - this.#options.idleLimit.milliseconds;
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) {
+        const period = IDLE_PERIODS.get(socket);
+        if (period !== undefined && period.sinceMilliseconds < since) {
+          period.destroy();
+        }
+      }
+    }
   }
 
   /** Closes idle connections now and busy ones after their request. */
@@ -74,20 +110,28 @@
   /** Called by Node when a request has ended and its socket may be reused. */
   override keepSocketAlive(socket: Socket): boolean {
     if (this.#isDraining || socket.destroyed) return false;
+    if (super.keepSocketAlive(socket) as unknown === false) return false;
     const destroy = () => socket.destroy();
-    IDLE_HANDLERS.set(socket, destroy);
+    IDLE_PERIODS.set(socket, {
+      destroy,
+      sinceMilliseconds: this.#options.clock(),
+    });
     socket.on("data", destroy);
     socket.on("end", destroy);
-    super.keepSocketAlive(socket);
-    socket.setTimeout(this.#idleMilliseconds, destroy);
+    const announced = socket.timeout || this.#options.idleMilliseconds;
+    const limit = this.#options.idleLimit.milliseconds;
+    socket.setTimeout(Math.min(announced, limit), destroy);
     return true;
   }
 
   /** Called by Node when an idle socket gets its next request. */
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     super.reuseSocket(socket, request);
-    const destroy = IDLE_HANDLERS.get(socket);
-    if (destroy !== undefined) {
+    const period = IDLE_PERIODS.get(socket);
+    if (period !== undefined) {
+      const { destroy, sinceMilliseconds } = period;
+      const idleMilliseconds = this.#options.clock() - sinceMilliseconds;
+      IDLE_BEFORE_REQUEST.set(socket, idleMilliseconds);
       socket.off("data", destroy);
       socket.off("end", destroy);
       socket.off("timeout", destroy);
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -2,6 +2,7 @@
  * The backend servers that an entry may use, by service, with their estimated
  * load and the connections to them.
  */
+import { IdleLimit } from "@marigoldford/kernel/idle_limit";
 import type { DiscoveryState } from "@marigoldford/kernel/discovery_state";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
 import { ServerLoad } from "@marigoldford/kernel/server_load";
@@ -18,6 +19,7 @@
 
 export type ServerTableOptions = {
   readonly clock: () => number;
+  /** Idle connections are closed after this time, or earlier; see IdleLimit. */
   readonly idleMilliseconds: number;
   readonly maximumSockets: number;
 };
@@ -35,6 +37,7 @@
 export class ServerTable {
   readonly #options: ServerTableOptions;
   readonly #servers = new Map<string, UsableServer>();
+  readonly #idleLimits = new Map<ServiceName, IdleLimit>();
   #byService = new Map<ServiceName, ServerLoad[]>();
   #byTag = new Map<number, UsableServer>();
 
@@ -77,6 +80,13 @@
     this.#rebuildIndexes();
   }
 
+  /** Closes connections that servers may have dropped. */
+  closeExpiredConnections(): void {
+    for (const { connections } of this.#servers.values()) {
+      connections.closeExpired();
+    }
+  }
+
   close(): void {
     for (const { connections } of this.#servers.values()) connections.destroy();
   }
@@ -92,11 +102,26 @@
     }
     this.#servers.set(registration.id, {
       load: new ServerLoad(registration, now),
-      connections: new ServerConnections(this.#options),
+      connections: new ServerConnections({
+        ...this.#options,
+        idleLimit: this.#idleLimitOf(registration.service),
+      }),
       tag: shortTag(registration.id),
     });
   }
 
+  #idleLimitOf(service: ServiceName): IdleLimit {
+    let limit = this.#idleLimits.get(service);
+    if (limit === undefined) {
+      limit = new IdleLimit({
+        clock: this.#options.clock,
+        maximumMilliseconds: this.#options.idleMilliseconds,
+      });
+      this.#idleLimits.set(service, limit);
+    }
+    return limit;
+  }
+
   #remove(id: string): void {
     const server = this.#servers.get(id);
     if (server === undefined) return;
