Control path: constant cost of placing probes and exchanging load in large fleets

Cause, read and timed at 313 entries and 462 servers: each entry ranked the members of each failure domain for each server with SHA-1, twice a second; all members for the watchers twenty times a second; and received every other entry's counts and reports, up to five datagrams a second from each of 260 entries of other failure domains, on top of up to 25 a second from each of 52 in its own. Ruled out: caching the ranks; they change with each entry that comes or leaves, which is when time is short. Idle entries repeat nothing.

--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -4,12 +4,17 @@
  *
  * Inside the failure domain, where traffic is cheap, changes are sent after a
  * short interval. Each other failure domain gets them less often, through one
- * of its entries, which forwards them to the others.
+ * of its entries, which forwards them to the others. In large fleets the
+ * intervals grow, and other failure domains get no messages.
  */
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
-import type { ServerLoad } from "@marigoldford/kernel/server_load";
+import { loadExchangeInterval } from "@marigoldford/kernel/load_exchange_schedule";
+import {
+  PEER_COUNT_LIFETIME_MILLISECONDS,
+  type ServerLoad,
+} from "@marigoldford/kernel/server_load";
 import type { Clock, FailureDomain } from "@marigoldford/kernel/types";
-import { rankMembers } from "@marigoldford/kernel/rendezvous";
+import { highestRanked } from "@marigoldford/kernel/rendezvous";
 import type { DatagramSocket } from "./datagram_socket.ts";
 import type { FleetDatagram } from "./fleet_messages.ts";
 import {
@@ -22,9 +27,9 @@
 import type { ServerTable } from "./server_table.ts";
 
 export type LoadExchangeSettings = {
-  /** Interval of messages inside the failure domain. */
+  /** Interval of messages inside the failure domain, in a small fleet. */
   readonly sameDomainIntervalMilliseconds: number;
-  /** Interval of messages to other failure domains. */
+  /** Interval of messages to other failure domains, in a small fleet. */
   readonly crossDomainIntervalMilliseconds: number;
 };
 
@@ -42,6 +47,8 @@
 
 /** Unchanged in-flight counts are resent after this, as datagrams get lost. */
 const REPEAT_MILLISECONDS = 400;
+/** Timers fire up to a millisecond early. */
+const TIMER_TOLERANCE_MILLISECONDS = 2;
 
 export class LoadExchange {
   readonly #options: LoadExchangeOptions;
@@ -49,7 +56,8 @@
   readonly #crossDomainReports = new Set<ServerLoad>();
   readonly #lastTagsByPeer = new Map<string, ReadonlySet<number>>();
   #sameDomainTimer: ReturnType<typeof setTimeout> | undefined;
-  #crossDomainTimer: ReturnType<typeof setInterval> | undefined;
+  #tickTimer: ReturnType<typeof setInterval> | undefined;
+  #crossDomainSentAt = -Infinity;
   #hasUnsentCrossDomainChange = false;
   #sameDomainSentAt = -Infinity;
 
@@ -58,16 +66,15 @@
   }
 
   start(): void {
-    const { crossDomainIntervalMilliseconds } = this.#options.settings;
-    this.#crossDomainTimer = setInterval(
-      () => this.#sendToOtherDomains(),
-      crossDomainIntervalMilliseconds,
+    this.#tickTimer = setInterval(
+      () => this.#tick(),
+      this.#options.settings.crossDomainIntervalMilliseconds,
     );
   }
 
   stop(): void {
     clearTimeout(this.#sameDomainTimer);
-    clearInterval(this.#crossDomainTimer);
+    clearInterval(this.#tickTimer);
   }
 
   /** Schedules a message after an in-flight count has changed. */
@@ -127,9 +134,16 @@
 
   #schedule(): void {
     if (this.#sameDomainTimer !== undefined) return;
+    const { sameDomainIntervalMilliseconds } = this.#options.settings;
+    const interval = loadExchangeInterval({
+      senders: this.#sameDomainPeers().length,
+      minimumMilliseconds: sameDomainIntervalMilliseconds,
+      countLifetimeMilliseconds: PEER_COUNT_LIFETIME_MILLISECONDS,
+    });
+    if (interval === undefined) return;
     this.#sameDomainTimer = setTimeout(
       () => this.#sendToSameDomain(),
-      this.#options.settings.sameDomainIntervalMilliseconds,
+      interval,
     );
   }
 
@@ -143,13 +157,36 @@
     this.#sameDomainReports.clear();
   }
 
+  #tick(): void {
+    this.#repeatCounts();
+    const interval = loadExchangeInterval({
+      senders: this.#options.peers().length,
+      minimumMilliseconds:
+        this.#options.settings.crossDomainIntervalMilliseconds,
+      countLifetimeMilliseconds: PEER_COUNT_LIFETIME_MILLISECONDS,
+    });
+    if (interval === undefined) return this.#crossDomainReports.clear();
+    const elapsed = this.#options.clock() - this.#crossDomainSentAt;
+    if (elapsed >= interval - TIMER_TOLERANCE_MILLISECONDS) {
+      this.#sendToOtherDomains();
+    }
+  }
+
+  /** Repeats unchanged counts; those of an idle entry expire by themselves. */
+  #repeatCounts(): void {
+    const elapsed = this.#options.clock() - this.#sameDomainSentAt;
+    if (elapsed <= REPEAT_MILLISECONDS) return;
+    for (const { load } of this.#options.servers.all()) {
+      if (load.ownInFlight > 0) return this.#schedule();
+    }
+  }
+
   #sendToOtherDomains(): void {
-    const now = this.#options.clock();
-    if (now - this.#sameDomainSentAt > REPEAT_MILLISECONDS) this.#schedule();
     if (
       !this.#hasUnsentCrossDomainChange && this.#crossDomainReports.size === 0
     ) return;
     this.#hasUnsentCrossDomainChange = false;
+    this.#crossDomainSentAt = this.#options.clock();
     this.#options.socket.send(
       this.#relayAddresses(),
       this.#makeDatagram(this.#crossDomainReports, true),
@@ -208,8 +245,8 @@
     }
     const relays: string[] = [];
     for (const members of byDomain.values()) {
-      const [first] = rankMembers(this.#options.self, members.keys());
-      const address = members.get(first);
+      const relay = highestRanked(this.#options.self, members.keys());
+      const address = relay === undefined ? undefined : members.get(relay);
       if (address !== undefined) relays.push(address);
     }
     return relays;
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -9,9 +9,13 @@
  */
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import type { RateBudget } from "@marigoldford/kernel/rate_budget";
-import { rankMembers } from "@marigoldford/kernel/rendezvous";
+import { highestRanked } from "@marigoldford/kernel/rendezvous";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
-import type { Clock, ServiceName } from "@marigoldford/kernel/types";
+import type {
+  Clock,
+  FailureDomain,
+  ServiceName,
+} from "@marigoldford/kernel/types";
 import type { AnswerHead } from "./answer_head.ts";
 import { type CallerProtocol, singleHeader } from "./caller_protocol.ts";
 import { ProbeConnection } from "./probe_connection.ts";
@@ -31,6 +35,7 @@
 
 export type ProberOptions = {
   readonly self: string;
+  readonly failureDomain: FailureDomain;
   readonly clock: Clock;
   readonly settings: ProberSettings;
   readonly budget: RateBudget;
@@ -122,14 +127,18 @@
     this.#closeUnusedConnections();
     const members = this.#options.members();
     const all = members.map(({ incarnation }) => incarnation);
+    const domains = new Set(members.map(({ failureDomain }) => failureDomain));
+    const { self, failureDomain: ownDomain } = this.#options;
+    const ownDomainMembers = members.filter(({ failureDomain }) =>
+      failureDomain === ownDomain
+    ).map(({ incarnation }) => incarnation);
     this.#assigned = [];
     for (const { load } of this.#options.servers.all()) {
       const { id, failureDomain } = load.registration;
-      const sameDomain = members.filter((member) =>
-        member.failureDomain === failureDomain
-      ).map(({ incarnation }) => incarnation);
-      const [owner] = rankMembers(id, sameDomain.length > 0 ? sameDomain : all);
-      if (owner === this.#options.self) this.#assigned.push(load);
+      const isOwnDomain = failureDomain === ownDomain;
+      if (!isOwnDomain && domains.has(failureDomain)) continue;
+      const owner = highestRanked(id, isOwnDomain ? ownDomainMembers : all);
+      if (owner === self) this.#assigned.push(load);
     }
   }
 
--- /dev/null
+++ b/packages/kernel/src/load_exchange_schedule_test.ts
@@ -0,0 +1,30 @@
+/**
+ * Tests that the messages an entry receives do not grow with the fleet.
+ */
+import { expect, it } from "vitest";
+import { loadExchangeInterval } from "./load_exchange_schedule.ts";
+
+function intervalOf(senders: number): number | undefined {
+  return loadExchangeInterval({
+    senders,
+    minimumMilliseconds: 40,
+    countLifetimeMilliseconds: 1_000,
+  });
+}
+
+it("a small fleet exchanges its load at the shortest interval", () => {
+  for (const senders of [0, 1, 3, 5]) expect(intervalOf(senders)).toBe(40);
+});
+
+it("an entry receives a bounded number of messages at any size", () => {
+  for (let senders = 1; senders <= 600; senders++) {
+    const interval = intervalOf(senders);
+    if (interval === undefined) continue;
+    expect(senders * 1_000 / interval).toBeLessThanOrEqual(125.01);
+  }
+});
+
+it("counts that would expire before the next message are not sent", () => {
+  expect(intervalOf(52)).toBe(416);
+  expect(intervalOf(260)).toBeUndefined();
+});
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -45,8 +45,8 @@
  * machines last about 300 ms in production.
  */
 const SLOWDOWN_DECAY_MILLISECONDS = 300;
-/** Counts of peers expire after this time; peers repeat them well within it. */
-const PEER_COUNT_LIFETIME_MILLISECONDS = 1_000;
+/** Counts of peers expire after this time; peers repeat them within it. */
+export const PEER_COUNT_LIFETIME_MILLISECONDS = 1_000;
 /** Half-life of the failure rate. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 2_000;
 /** Weight of the newest outcome in the failure rate. */
--- a/packages/kernel/src/watcher_selection.ts
+++ b/packages/kernel/src/watcher_selection.ts
@@ -5,7 +5,7 @@
  * watchers from the members that it knows, without coordination. An entry whose
  * copy of the discovery state is too old also watches, whatever the cause.
  */
-import { rankMembers } from "./rendezvous.ts";
+import { rankOf } from "./rendezvous.ts";
 
 export type WatcherInputs = {
   readonly self: string;
@@ -23,7 +23,6 @@
   if (inputs.stateAgeMilliseconds > inputs.maximumStateAgeMilliseconds) {
     return "news-too-old";
   }
-  const ranked = rankMembers("discovery-watcher", inputs.eligible);
-  const rank = ranked.indexOf(inputs.self);
+  const rank = rankOf("discovery-watcher", inputs.self, inputs.eligible);
   return rank >= 0 && rank < inputs.watcherCount ? "chosen" : "not-needed";
 }
