Discovery: ignore changes that the state is already past

Cause: an update that a slow or paused peer sends late was applied change by change. A registration in it of a server that had been removed since came back into use, and stayed until the next whole listing: at an entry that knew the server (its removal was not remembered as a revision), and at a restarted one that had never known it. Ruled out: listings, which are taken only if newer; late writes of the same process, which its sequence tells; own watches, whose events follow the revision they asked for. Change: the state is complete up to its revision, so registrations and removals up to it are ignored.

--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -3,6 +3,8 @@
  * listings and changes that may arrive late, repeatedly or out of order.
  *
  * - A snapshot is accepted only if its version is higher.
+ * - Changes up to the revision of the state are ignored, so that an old message
+ *   of a peer cannot bring back a server that was removed.
  * - A registration is accepted only if the same process of the backend server
  *   has not published a newer one, so that a write which the discovery service
  *   performs late cannot bring back a server that is draining.
@@ -87,11 +89,25 @@
     this.#graceUntilMilliseconds = now + this.#options.outageGraceMilliseconds;
   }
 
-  /** Applies changes up to `revision`; returns those that had an effect. */
+  /**
+   * Applies changes up to `revision`; returns those that had an effect. The
+   * state is complete up to its own revision, so older changes are late.
+   */
   apply(
     changes: readonly DiscoveryChange[],
     revision: number,
     now: number,
+  ): DiscoveryChange[] {
+    const current = changes.filter((change) =>
+      change.kind === "snapshot" || change.revision > this.#revision
+    );
+    return this.#applyAll(current, revision, now);
+  }
+
+  #applyAll(
+    changes: readonly DiscoveryChange[],
+    revision: number,
+    now: number,
   ): DiscoveryChange[] {
     const applied = changes.filter((change) => this.#applyChange(change, now));
     this.#revision = Math.max(this.#revision, revision);
@@ -114,7 +130,7 @@
         revision: listing.revision,
       });
     }
-    return this.apply(
+    return this.#applyAll(
       [...missing, ...listing.changes],
       listing.revision,
       now,
--- a/packages/kernel/src/discovery_state_test.ts
+++ b/packages/kernel/src/discovery_state_test.ts
@@ -50,6 +50,23 @@
     expect(stateOf(state)).toBeUndefined();
   });
 
+  it("rejects a removed server in an update that a slow peer sends again", () => {
+    const state = makeState();
+    state.apply([registered({}, 20)], 20, 0);
+    state.apply([removed(21)], 21, 0);
+    state.apply([registered({}, 20)], 20, 0);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("rejects a removed server in an old update to a restarted entry", () => {
+    const state = makeState();
+    state.applyListing({ revision: 21, changes: [] }, 0);
+    state.apply([registered({}, 20)], 20, 0);
+    expect(stateOf(state)).toBeUndefined();
+    state.apply([registered({ sequence: 9 }, 22)], 22, 0);
+    expect(stateOf(state)).toBe("ready");
+  });
+
   it("accepts a new process with the same id and a lower sequence", () => {
     const state = makeState();
     state.apply([registered({ sequence: 9, state: "draining" }, 20)], 20, 0);
