Gateway: an answer that is complete by its framing needs no intact connection

Cause, found by reading the change of today: when a connection failed after all of a framed answer had arrived, isComplete said no while the error of the connection was passed over, and the attempt would have ended only at the deadline. Ruled out: a truncated answer; Node sets `complete` only when the framing has ended. Change: isComplete asks for the state of the connection only where nothing else marks the end of the answer. Measured: not seen failing; a new end-to-end test (complete answers, then a close or a reset, at once) passed before and passes after. 74 tests of answers pass.

--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -354,8 +354,12 @@
     });
   }
 
-  /** Whether an answer ended as its framing declares, and not by a reset. */
+  /**
+   * Whether an answer ended as its framing declares; without a framing, it must
+   * not have ended by a reset.
+   */
   async isComplete(answer: IncomingMessage): Promise<boolean> {
+    if (isFramed(answer)) return answer.complete;
     await this.#resetCheck;
     const hasFailed = this.#socket !== undefined &&
       hasSocketFailed(this.#socket);
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -110,6 +110,7 @@
   /** Called by Node when a request has ended and its socket may be reused. */
   override keepSocketAlive(socket: Socket): boolean {
     if (this.#isDraining || socket.destroyed) return false;
+    // Node returns false if the server closes at once; its types omit that.
     if (super.keepSocketAlive(socket) as unknown === false) return false;
     const destroy = () => socket.destroy();
     IDLE_PERIODS.set(socket, {
