Answer callers that are still sending when their connection is closed

An entry that refuses a body announces Connection: close and ended its answer at once; Node then closes the socket with bytes of the request unread, which resets it. The caller's write fails, and an answer that it has not read yet is discarded. The same holds for answers of a leaving gateway entry to uploads that are still arriving. Ruled out: the load of the machine. Answers on connections that stay open are unchanged.

--- a/packages/entry/src/answer_writer.ts
+++ b/packages/entry/src/answer_writer.ts
@@ -7,6 +7,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { endAfterRequest } from "@marigoldford/http_answers/end_after_request";
 import { type Refusal, REFUSAL_RULES } from "@marigoldford/kernel/refusal";
 import type { StoredAnswer } from "@marigoldford/kernel/protected_call_table";
 import { forwardableHeaders } from "./attempt.ts";
@@ -58,7 +59,7 @@
     "Content-Type": answer.contentType ?? "application/json",
     "Content-Length": body.byteLength,
   });
-  response.end(body);
+  endAfterRequest(response, body);
 }
 
 /** Replays a stored answer. */
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -3,6 +3,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { endAfterRequest } from "@marigoldford/http_answers/end_after_request";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
 import type { BufferedAnswer, StreamedAnswer } from "./server_attempt.ts";
 
@@ -39,7 +40,7 @@
       raw.push("Content-Length", head.headers["content-length"]);
     }
     this.#writeHead(status, head.statusMessage, raw);
-    this.#options.response.end(hasBody ? body : undefined);
+    endAfterRequest(this.#options.response, hasBody ? body : undefined);
   }
 
   /**
@@ -80,12 +81,12 @@
       "Content-Length",
       String(body.byteLength),
     ]);
-    this.#options.response.end(body);
+    endAfterRequest(this.#options.response, body);
   }
 
   /** Ends a complete streamed answer. */
   end(): void {
-    this.#options.response.end();
+    endAfterRequest(this.#options.response);
   }
 
   /**
