Placement: service times, connections and hedges of fleets with few requests an entry

Change: the default service time follows the objective; samples and hedges take the slowdown at the start; servers with open connections are preferred; load messages end where they would be older than 150 ms, and background probes with them; the queue is served less often for long requests. Measured: placement_simulation_test.ts, 30 entries with one request a second each: more than 0.97 in time by probes alone, within 0.01 of that with the counts of peers.

Control path, in the same commit as both change the gateway's wiring. Change: a starting entry waits 300 ms for its peers; entries with an old state take over in the order in which they would be chosen, and confirm it by a call that does not wait; changes cross between large failure domains once, through a relay. watcher_selection_test.ts and domain_relays_test.ts.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -56,16 +56,14 @@
  * entry falls back to its own watch well before.
  */
 const OUTAGE_MILLISECONDS = 3_000;
-const IDLE_CHECK_MILLISECONDS = 50;
+const IDLE_CHECK_MILLISECONDS = 100;
 const MINIMUM_BACKOFF_MILLISECONDS = 100;
 const MAXIMUM_BACKOFF_MILLISECONDS = 800;
-/** Spreads the moments at which entries with a stale state begin to watch. */
-const MAXIMUM_JITTER_MILLISECONDS = 200;
 
 export class DiscoverySynchronizer {
   readonly state: DiscoveryState;
   readonly #options: DiscoverySynchronizerOptions;
-  readonly #jitterMilliseconds: number;
+  readonly #startedAtMilliseconds: number;
   #confirmedAtMilliseconds = -Infinity;
   #isStopped = false;
   #isWatching = false;
@@ -77,7 +75,7 @@
 
   constructor(options: DiscoverySynchronizerOptions) {
     this.#options = options;
-    this.#jitterMilliseconds = options.random() * MAXIMUM_JITTER_MILLISECONDS;
+    this.#startedAtMilliseconds = options.clock();
     this.state = new DiscoveryState(options.settings);
   }
 
@@ -127,7 +125,7 @@
   /** Records how fresh a peer's state is; false if it is ahead of this one. */
   recordPeerFreshness(freshness: DiscoveryFreshness): boolean {
     if (freshness.revision > this.state.revision) return false;
-    if (freshness.revision === this.state.revision) {
+    if (freshness.revision === this.state.revision && freshness.revision > 0) {
       this.#confirm(freshness.ageMilliseconds);
     }
     return true;
@@ -186,7 +184,7 @@
       const reason = this.#watchReason();
       this.#recordWatching(reason);
       if (reason === "not-needed") await sleep(IDLE_CHECK_MILLISECONDS);
-      else await this.#readOnce();
+      else await this.#readOnce(reason);
     }
   }
 
@@ -199,9 +197,10 @@
         ? eligibleWatchers().filter((member) => member !== self)
         : eligibleWatchers(),
       watcherCount: settings.watcherCount,
+      hasState: this.state.revision > 0,
+      uptimeMilliseconds: this.#now() - this.#startedAtMilliseconds,
       stateAgeMilliseconds: this.stateAgeMilliseconds,
-      maximumStateAgeMilliseconds: settings.maximumStateAgeMilliseconds +
-        this.#jitterMilliseconds,
+      maximumStateAgeMilliseconds: settings.maximumStateAgeMilliseconds,
     });
   }
 
@@ -216,11 +215,16 @@
     });
   }
 
-  async #readOnce(): Promise<void> {
+  async #readOnce(reason: "chosen" | "news-too-old"): Promise<void> {
+    const { settings } = this.#options;
     const baseRevision = this.state.revision;
     const failure = this.#mustReadAll || baseRevision === 0
       ? await this.#readAll(baseRevision)
-      : await this.#watch(baseRevision);
+      : await this.#watch(
+        baseRevision,
+        // An old state is confirmed or replaced at once.
+        reason === "chosen" ? settings.watchWaitMilliseconds : 0,
+      );
     this.#options.onServiceCall(failure?.kind ?? "answered");
     if (failure !== undefined) await this.#onFailure(failure);
   }
@@ -238,12 +242,12 @@
     return undefined;
   }
 
-  async #watch(baseRevision: number): Promise<DiscoveryFailure | undefined> {
+  async #watch(
+    baseRevision: number,
+    waitMilliseconds: number,
+  ): Promise<DiscoveryFailure | undefined> {
     const { source, settings } = this.#options;
-    const answer = await source.watch(
-      baseRevision,
-      settings.watchWaitMilliseconds,
-    );
+    const answer = await source.watch(baseRevision, waitMilliseconds);
     if (answer.isErr()) return answer.error;
     const { changes, revision } = answer.value;
     this.#applyUpdate(() => this.state.apply(changes, revision, this.#now()));
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -66,6 +66,8 @@
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
     readonly ageMilliseconds: number;
+    /** Whether the receiver forwards it to the peers of its failure domain. */
+    readonly isForDomain?: boolean;
   }
   /** Requests a complete listing of the discovery state. */
   | { readonly kind: "reading-request" }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
+import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
 import { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
 import { makeEventWriter, type WriteEvent } from "./events.ts";
@@ -58,6 +59,8 @@
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5_000;
 const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
 const MILLISECONDS_IN_SECOND = 1_000;
+/** Entries of another failure domain that get changes without a relay. */
+const MAXIMUM_DIRECT_RECEIVERS = 8;
 /**
  * Requests that arrive in this last part of the grace period are rejected
  * before they run, so that callers retry them at another entry.
@@ -211,6 +214,7 @@
       protocol: dependencies.protocol,
       servers: this.#servers,
       members: () => this.#nonLeavingMembers(),
+      areReportsExchanged: () => this.#loadExchange.isActive,
       healthPathOf: (service) => this.#router.service(service)?.healthPath,
       onReport: (server) => this.#loadExchange.queueReport(server),
       onProbe: () => this.#metrics.incrementCounter("probes"),
@@ -219,7 +223,7 @@
       clock,
       random: Math.random,
       failureDomain: instance.failureDomain,
-      crossDomainCost: TUNING.crossDomainCost,
+      costs: TUNING.costs,
       servers: this.#servers,
       prober: this.#prober,
     });
@@ -472,15 +476,39 @@
       );
       return;
     }
-    for (const { meshAddress } of peers) {
-      this.#frameConnections.send(meshAddress, {
-        kind: "changes",
-        ...update,
-        ageMilliseconds: 0,
-      });
+    const { failureDomain } = this.#options.instance;
+    const self = { incarnation: this.#incarnation, failureDomain };
+    const frame = { kind: "changes", ...update, ageMilliseconds: 0 } as const;
+    const others = receiversInOtherDomains(
+      self,
+      peers,
+      MAXIMUM_DIRECT_RECEIVERS,
+    );
+    this.#sendFrame(peersInDomain(peers, failureDomain), frame);
+    this.#sendFrame(others.direct, frame);
+    this.#sendFrame(others.relays, { ...frame, isForDomain: true });
+  }
+
+  #sendFrame(to: readonly MemberRecord[], frame: FleetFrame): void {
+    for (const { meshAddress } of to) {
+      this.#frameConnections.send(meshAddress, frame);
     }
   }
 
+  /** Forwards changes to the own failure domain, unless it has them already. */
+  #relayChanges(frame: Extract<FleetFrame, { kind: "changes" }>): void {
+    if (!frame.isForDomain) return;
+    if (frame.revision <= this.#discovery.state.revision) return;
+    const peers = this.#fleet.members.livePeers();
+    this.#sendFrame(
+      peersInDomain(peers, this.#options.instance.failureDomain),
+      {
+        ...frame,
+        isForDomain: false,
+      },
+    );
+  }
+
   #onDatagram(datagram: FleetDatagram, sender: Address): void {
     if (datagram.from === this.#incarnation) return;
     switch (datagram.kind) {
@@ -508,21 +536,29 @@
     sender: Address,
   ): void {
     if (this.#discovery.recordPeerFreshness(freshness)) return;
-    const now = this.#clock();
-    if (
-      now - this.#listingRequestedAt < LISTING_REQUEST_INTERVAL_MILLISECONDS
-    ) return;
-    this.#listingRequestedAt = now;
     const { port } = splitAddress(this.#options.instance.meshAddress);
     const { host } = splitAddress(sender);
-    this.#frameConnections.send(`${host}:${port}`, { kind: "reading-request" });
+    this.#requestListing(() =>
+      this.#frameConnections.send(`${host}:${port}`, {
+        kind: "reading-request",
+      })
+    );
+  }
+
+  /** Requests a listing unless one is on its way. */
+  #requestListing(send: () => void): void {
+    const elapsed = this.#clock() - this.#listingRequestedAt;
+    if (elapsed < LISTING_REQUEST_INTERVAL_MILLISECONDS) return;
+    this.#listingRequestedAt = this.#clock();
+    send();
   }
 
   #onFrame(frame: FleetFrame, reply: FrameReply): void {
     switch (frame.kind) {
       case "changes":
+        this.#relayChanges(frame);
         if (!this.#discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
-          reply({ kind: "reading-request" });
+          this.#requestListing(() => reply({ kind: "reading-request" }));
         }
         return;
       case "reading-request": {
--- a/packages/gateway/src/hedge_timer.ts
+++ b/packages/gateway/src/hedge_timer.ts
@@ -21,7 +21,10 @@
    * Whether exactly one attempt runs and another may be started alongside it.
    */
   readonly mayHedge: () => boolean;
-  /** Current slowdown of the first server; undefined if it does not answer. */
+  /**
+   * Slowdown of the first server when it started the request, or else its
+   * current one; undefined if it does not answer.
+   */
   readonly probeSlowdown: () => Promise<number | undefined>;
   /** Sends the hedge; false if it cannot be sent now. */
   readonly sendHedge: () => boolean;
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -5,17 +5,15 @@
  * Inside the failure domain, where traffic is cheap, changes are sent after a
  * short interval. Each other failure domain gets them less often, through one
  * of its entries, which forwards them to the others. In large fleets the
- * intervals grow, and other failure domains get no messages.
+ * intervals grow up to the age at which a report is still of use; beyond that
+ * size no messages are sent, and entries know the load from their own probes.
  */
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import { loadExchangeInterval } from "@marigoldford/kernel/load_exchange_schedule";
-import {
-  PEER_COUNT_LIFETIME_MILLISECONDS,
-  type ServerLoad,
-} from "@marigoldford/kernel/server_load";
+import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { Clock, FailureDomain } from "@marigoldford/kernel/types";
-import { highestRanked } from "@marigoldford/kernel/rendezvous";
 import type { DatagramSocket } from "./datagram_socket.ts";
+import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
 import type { FleetDatagram } from "./fleet_messages.ts";
 import {
   decodeInFlightCounts,
@@ -26,11 +24,18 @@
 } from "./load_codec.ts";
 import type { ServerTable } from "./server_table.ts";
 
+export type ExchangeInterval = {
+  /** Interval in a small fleet. */
+  readonly minimumMilliseconds: number;
+  /** No messages are sent in a fleet that needs a longer interval. */
+  readonly maximumMilliseconds: number;
+};
+
 export type LoadExchangeSettings = {
-  /** Interval of messages inside the failure domain, in a small fleet. */
-  readonly sameDomainIntervalMilliseconds: number;
-  /** Interval of messages to other failure domains, in a small fleet. */
-  readonly crossDomainIntervalMilliseconds: number;
+  /** Interval of messages inside the failure domain. */
+  readonly sameDomain: ExchangeInterval;
+  /** Interval of messages to other failure domains. */
+  readonly crossDomain: ExchangeInterval;
 };
 
 export type LoadExchangeOptions = {
@@ -65,10 +70,15 @@
     this.#options = options;
   }
 
+  /** Whether peers in the own failure domain get reports of this entry. */
+  get isActive(): boolean {
+    return this.#sameDomainInterval() !== undefined;
+  }
+
   start(): void {
     this.#tickTimer = setInterval(
       () => this.#tick(),
-      this.#options.settings.crossDomainIntervalMilliseconds,
+      this.#options.settings.crossDomain.minimumMilliseconds,
     );
   }
 
@@ -134,19 +144,21 @@
 
   #schedule(): void {
     if (this.#sameDomainTimer !== undefined) return;
-    const { sameDomainIntervalMilliseconds } = this.#options.settings;
-    const interval = loadExchangeInterval({
-      senders: this.#sameDomainPeers().length,
-      minimumMilliseconds: sameDomainIntervalMilliseconds,
-      countLifetimeMilliseconds: PEER_COUNT_LIFETIME_MILLISECONDS,
-    });
-    if (interval === undefined) return;
+    const interval = this.#sameDomainInterval();
+    if (interval === undefined) return this.#sameDomainReports.clear();
     this.#sameDomainTimer = setTimeout(
       () => this.#sendToSameDomain(),
       interval,
     );
   }
 
+  #sameDomainInterval(): number | undefined {
+    return loadExchangeInterval({
+      senders: this.#sameDomainPeers().length,
+      ...this.#options.settings.sameDomain,
+    });
+  }
+
   #sendToSameDomain(): void {
     this.#sameDomainTimer = undefined;
     this.#sameDomainSentAt = this.#options.clock();
@@ -161,9 +173,7 @@
     this.#repeatCounts();
     const interval = loadExchangeInterval({
       senders: this.#options.peers().length,
-      minimumMilliseconds:
-        this.#options.settings.crossDomainIntervalMilliseconds,
-      countLifetimeMilliseconds: PEER_COUNT_LIFETIME_MILLISECONDS,
+      ...this.#options.settings.crossDomain,
     });
     if (interval === undefined) return this.#crossDomainReports.clear();
     const elapsed = this.#options.clock() - this.#crossDomainSentAt;
@@ -227,28 +237,14 @@
   }
 
   #sameDomainPeers(): MemberRecord[] {
-    return this.#options.peers().filter(({ failureDomain }) =>
-      failureDomain === this.#options.failureDomain
-    );
+    return peersInDomain(this.#options.peers(), this.#options.failureDomain);
   }
 
   /** Datagram address of one entry of each other failure domain. */
   #relayAddresses(): string[] {
-    const byDomain = new Map<FailureDomain, Map<string, string>>();
-    for (const peer of this.#options.peers()) {
-      if (peer.failureDomain === this.#options.failureDomain) continue;
-      let members = byDomain.get(peer.failureDomain);
-      if (members === undefined) {
-        byDomain.set(peer.failureDomain, members = new Map());
-      }
-      members.set(peer.incarnation, peer.datagramAddress);
-    }
-    const relays: string[] = [];
-    for (const members of byDomain.values()) {
-      const relay = highestRanked(this.#options.self, members.keys());
-      const address = relay === undefined ? undefined : members.get(relay);
-      if (address !== undefined) relays.push(address);
-    }
-    return relays;
+    const { self, failureDomain, peers } = this.#options;
+    const sender = { incarnation: self, failureDomain };
+    const { relays } = receiversInOtherDomains(sender, peers(), 0);
+    return relays.map(({ datagramAddress }) => datagramAddress);
   }
 }
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -24,7 +24,11 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly failureDomain: FailureDomain;
-  readonly crossDomainCost: CrossDomainCost;
+  readonly costs: {
+    readonly crossDomainCost: CrossDomainCost;
+    /** Cost of opening a connection, in latency objectives. */
+    readonly objectivesPerConnection: number;
+  };
   readonly servers: ServerTable;
   readonly prober: Prober;
 };
@@ -49,17 +53,28 @@
     request: PlacementRequest,
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
-    const { servers, clock, random, failureDomain, crossDomainCost } =
-      this.#options;
+    const { servers, clock, random, failureDomain } = this.#options;
+    const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
     return place(servers.ofService(service), request, {
       now: clock(),
       random,
       ownFailureDomain: failureDomain,
       crossDomainCost,
+      connectionCost: {
+        connectionsToOpen: (server) => this.#connectionsToOpen(server),
+        objectivesPerConnection,
+      },
       staleEstimate,
     });
   }
 
+  /** Connections that a probe and a request would have to open. */
+  #connectionsToOpen({ registration: { id } }: ServerLoad): number {
+    const { servers, prober } = this.#options;
+    const forProbe = prober.isConnected(id) ? 0 : 1;
+    return servers.find(id)?.connections.hasIdle ? forProbe : forProbe + 1;
+  }
+
   /**
    * Probes the current slowdown of a server; undefined if it does not answer.
    */
@@ -88,6 +103,7 @@
       const age = this.#reportAgeOf(server);
       const mustProbe = needsLoadProbe({
         reportAgeMilliseconds: age,
+        mayReport: server.mayReport,
         probesSent,
         remainingMilliseconds: remainingMilliseconds(),
       });
@@ -113,6 +129,7 @@
   #isFresh(server: ServerLoad): boolean {
     return !needsLoadProbe({
       reportAgeMilliseconds: this.#reportAgeOf(server),
+      mayReport: server.mayReport,
       probesSent: 0,
       remainingMilliseconds: Infinity,
     });
--- a/packages/gateway/src/probe_connection.ts
+++ b/packages/gateway/src/probe_connection.ts
@@ -35,6 +35,10 @@
     this.address = address;
   }
 
+  get isOpen(): boolean {
+    return this.#socket !== undefined;
+  }
+
   /** Sends a probe; one that is still pending is abandoned. */
   get(path: string): Promise<ProbeAnswer> {
     if (this.#pending !== undefined || this.#bodyBytesLeft > 0) this.close();
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -2,10 +2,10 @@
  * Probes the load and health of backend servers: right before a request is sent
  * to one, and when its last load report is too old.
  *
- * A server with an old report is probed by one entry of the fleet. That entry
- * is selected by rendezvous hashing among the live members in the server's
- * failure domain, or among all if there are none. All probes draw on one
- * budget.
+ * While entries exchange load reports, a server with an old report is probed by
+ * one entry of the fleet. That entry is selected by rendezvous hashing among the
+ * live members in the server's failure domain, or among all if there are none.
+ * All probes draw on one budget.
  */
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import type { RateBudget } from "@marigoldford/kernel/rate_budget";
@@ -42,6 +42,8 @@
   readonly protocol: CallerProtocol;
   readonly servers: ServerTable;
   readonly members: () => readonly MemberRecord[];
+  /** Whether peers get the reports that this entry reads. */
+  readonly areReportsExchanged: () => boolean;
   readonly healthPathOf: (service: ServiceName) => string | undefined;
   readonly onReport: (server: ServerLoad) => void;
   readonly onProbe: () => void;
@@ -73,6 +75,11 @@
     for (const connection of this.#connections.values()) connection.close();
   }
 
+  /** Whether a connection for probes of a server is open. */
+  isConnected(id: string): boolean {
+    return this.#connections.get(id)?.isOpen ?? false;
+  }
+
   /** Makes the next tick assign the servers to entries again. */
   reassign(): void {
     this.#assignedAt = -Infinity;
@@ -112,6 +119,7 @@
   #tick(): void {
     const now = this.#options.clock();
     if (now - this.#assignedAt > REASSIGN_MILLISECONDS) this.#assign(now);
+    if (!this.#options.areReportsExchanged()) return;
     const { maximumReportAgeMilliseconds } = this.#options.settings;
     for (const server of this.#assigned) {
       if (this.#pending.has(server.registration.id)) continue;
@@ -187,7 +195,7 @@
     if (singleHeader(headers, protocol.headers.serverId) !== id) return;
     server.recordReportedHealth(status === HEALTHY_STATUS);
     const report = protocol.readLoad(headers);
-    if (report === undefined) return;
+    if (report === undefined) return server.recordMissingReport();
     if (server.recordReport(report, clock())) onReport(server);
   }
 }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -359,9 +359,11 @@
       serviceTimeMilliseconds: () => this.#serviceTimeMilliseconds,
       elapsedMilliseconds: () => this.#elapsedMilliseconds,
       mayHedge: () => this.#mayHedge(),
-      probeSlowdown: () => {
+      probeSlowdown: async () => {
         const [first] = this.#runningAttempts;
-        return this.#context.placer.probeSlowdown(first.server);
+        const { slowdownAtStart, server } = first;
+        const current = await this.#context.placer.probeSlowdown(server);
+        return current === undefined ? undefined : slowdownAtStart ?? current;
       },
       sendHedge: () => {
         const isSent = this.#hasOtherServer("hedge") &&
@@ -438,10 +440,11 @@
     const { load } = attempt.placementInputs;
     const answerMilliseconds = attempt.timeToHeadMilliseconds ??
       attempt.elapsedMilliseconds;
-    if (load >= slots) return;
+    const slowdown = lastReport === undefined ? 1 : attempt.slowdownAtStart;
+    if (load >= slots || slowdown === undefined) return;
     this.#context.services.estimatesOf(this.#route).addSample({
       serviceTimeMilliseconds: answerMilliseconds /
-        ((lastReport?.slowdown ?? 1) * contentionSlowdown(load, slots)),
+        (slowdown * contentionSlowdown(load, slots)),
       answerBytes: bytes,
     });
   }
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -10,6 +10,7 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import { splitAddress } from "@marigoldford/kernel/address";
+import { FRESH_REPORT_MILLISECONDS } from "@marigoldford/kernel/load_probe";
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
 import type { Placement } from "@marigoldford/kernel/placement";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
@@ -165,6 +166,20 @@
     return this.#phase !== "connecting";
   }
 
+  /**
+   * Slowdown of the server when it started the request, which then holds for
+   * all of its work. Undefined if a fresh report is missing, or if the request
+   * had to queue at the server.
+   */
+  get slowdownAtStart(): number | undefined {
+    const { load, slowdown, reportAgeMilliseconds } = this.placementInputs;
+    if (load >= this.server.slots) return undefined;
+    return reportAgeMilliseconds !== undefined &&
+        reportAgeMilliseconds <= FRESH_REPORT_MILLISECONDS
+      ? slowdown
+      : undefined;
+  }
+
   get elapsedMilliseconds(): number {
     return this.#options.clock() - this.startedAtMilliseconds;
   }
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -76,6 +76,12 @@
     this.#options = options;
   }
 
+  /** Whether a request would find an open connection. */
+  get hasIdle(): boolean {
+    for (const _host in this.freeSockets) return true;
+    return false;
+  }
+
   /**
    * Records that a connection broke during a request, before any byte of an
    * answer.
@@ -88,6 +94,7 @@
 
   /** Closes connections that have been idle for longer than the limit. */
   closeExpired(): void {
+    if (!this.hasIdle) return;
     const since = this.#options.clock() - this.#options.idleLimit.milliseconds;
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of sockets ?? []) {
--- a/packages/gateway/src/service_queue.ts
+++ b/packages/gateway/src/service_queue.ts
@@ -12,10 +12,12 @@
 import type { Clock } from "@marigoldford/kernel/types";
 
 /**
- * Interval of dispatches while requests are queued; a service with capacity for
- * many requests ends one every few milliseconds.
+ * Minimum interval of dispatches while requests are queued; a service with
+ * capacity for many requests ends one every few milliseconds.
  */
-const DISPATCH_INTERVAL_MILLISECONDS = 8;
+const MINIMUM_DISPATCH_INTERVAL_MILLISECONDS = 8;
+/** Each dispatch may probe servers, and long requests end less often. */
+const DISPATCH_INTERVAL_SERVICE_TIMES = 0.05;
 
 export class ServiceQueue {
   readonly #clock: Clock;
@@ -64,7 +66,15 @@
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
       this.#dispatch();
-    }, DISPATCH_INTERVAL_MILLISECONDS);
+    }, this.#dispatchIntervalMilliseconds());
+  }
+
+  #dispatchIntervalMilliseconds(): number {
+    return Math.max(
+      MINIMUM_DISPATCH_INTERVAL_MILLISECONDS,
+      this.#queue.minimumServiceTimeMilliseconds *
+        DISPATCH_INTERVAL_SERVICE_TIMES,
+    );
   }
 
   #dispatch(): void {
--- a/packages/gateway/src/service_states.ts
+++ b/packages/gateway/src/service_states.ts
@@ -37,12 +37,16 @@
     return getOrMake(this.#queues, service, () => new ServiceQueue(clock));
   }
 
-  estimatesOf({ name, kind }: SnapshotRoute): RouteEstimates {
-    const isDownload = kind === "download";
+  estimatesOf(route: SnapshotRoute): RouteEstimates {
+    const { name, kind, objectiveMilliseconds } = route;
     return getOrMake(
       this.#estimates,
       name,
-      () => new RouteEstimates(isDownload),
+      () =>
+        new RouteEstimates({
+          objectiveMilliseconds,
+          isDownload: kind === "download",
+        }),
     );
   }
 
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -13,11 +13,15 @@
     /** No limit in practice; a server's slots limit its connections. */
     maximumSockets: 64,
   },
-  /**
-   * The round trip covers a millisecond in each direction. The cost of traffic
-   * is the higher one of two sites.
-   */
-  crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
+  costs: {
+    /**
+     * The round trip covers a millisecond in each direction. The cost of
+     * traffic is the higher one of two sites.
+     */
+    crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
+    /** Prefers connected servers among those that are about as fast. */
+    objectivesPerConnection: 0.02,
+  },
   probe: {
     /** Three failed probes eject a dead server in about a second. */
     maximumReportAgeMilliseconds: 400,
@@ -29,8 +33,10 @@
   probeBudgetShare: 0.7,
   /** With shorter intervals the messages took a third of the processor time. */
   load: {
-    sameDomainIntervalMilliseconds: 40,
-    crossDomainIntervalMilliseconds: 200,
+    /** Older reports are not used to count requests. */
+    sameDomain: { minimumMilliseconds: 40, maximumMilliseconds: 150 },
+    /** Other failure domains get counts, which change more slowly. */
+    crossDomain: { minimumMilliseconds: 200, maximumMilliseconds: 300 },
   },
   discovery: {
     /** The fleet still gets changes when one of the two fails. */
--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -39,6 +39,10 @@
   readonly slowdown: number;
   /** Mean duration of a phase. */
   readonly meanPhaseMilliseconds: number;
+  /** Whether a request keeps the speed at which the server started it. */
+  readonly isSpeedKept?: boolean;
+  /** Whether entries send each other their in-flight counts. */
+  readonly areCountsExchanged?: boolean;
   /** Servers that are slower by a factor and do not report it. */
   readonly stragglers?: { readonly count: number; readonly factor: number };
 };
@@ -73,6 +77,8 @@
 
 type Job = {
   remainingMilliseconds: number;
+  /** Slowdown of the server when it started the request. */
+  slowdownAtStart: number;
   readonly arrivedAt: number;
   readonly entry: SimulatedEntry;
   readonly attempt: object;
@@ -83,26 +89,36 @@
   readonly waiting: Job[] = [];
   slowdown = 1;
 
-  constructor(readonly slots: number, readonly stragglerFactor: number) {}
+  constructor(
+    readonly slots: number,
+    readonly stragglerFactor: number,
+    readonly isSpeedKept: boolean,
+  ) {}
 
   /** Processes requests for a millisecond; returns those that have ended. */
   process(): Job[] {
     while (this.running.length < this.slots && this.waiting.length > 0) {
-      this.running.push(...this.waiting.splice(0, 1));
+      const [job] = this.waiting.splice(0, 1);
+      this.running.push(job);
+      job.slowdownAtStart = this.#slowdownOfRunning();
     }
-    const contention = this.running.length > KNEE_OCCUPANCY * this.slots
-      ? KNEE_SLOWDOWN
-      : 1;
     const ended: Job[] = [];
+    const slowdownNow = this.#slowdownOfRunning();
     for (const job of [...this.running]) {
-      job.remainingMilliseconds -= 1 /
-        (this.slowdown * contention * this.stragglerFactor);
+      const slowdown = this.isSpeedKept ? job.slowdownAtStart : slowdownNow;
+      job.remainingMilliseconds -= 1 / (slowdown * this.stragglerFactor);
       if (job.remainingMilliseconds > 0) continue;
       this.running.splice(this.running.indexOf(job), 1);
       ended.push(job);
     }
     return ended;
   }
+
+  #slowdownOfRunning(): number {
+    return this.running.length > KNEE_OCCUPANCY * this.slots
+      ? this.slowdown * KNEE_SLOWDOWN
+      : this.slowdown;
+  }
 }
 
 class SimulatedEntry {
@@ -183,6 +199,7 @@
       const { server } = optimistic.placement;
       const isProbeNeeded = needsLoadProbe({
         reportAgeMilliseconds: server.reportAgeMilliseconds(now),
+        mayReport: server.mayReport,
         probesSent,
         remainingMilliseconds: Infinity,
       });
@@ -211,6 +228,10 @@
       random,
       ownFailureDomain: "one",
       crossDomainCost: { roundTripMilliseconds: 0, objectivesPerMegabyte: 0 },
+      connectionCost: {
+        connectionsToOpen: () => 0,
+        objectivesPerConnection: 0,
+      },
       staleEstimate,
     };
     return place(this.loads, request, context);
@@ -226,6 +247,7 @@
     const spread = 0.5 + random();
     servers[Number(placement.server.registration.id)].waiting.push({
       remainingMilliseconds: load.serviceTimeMilliseconds * spread,
+      slowdownAtStart: 1,
       arrivedAt: request.arrivedAtMilliseconds,
       entry: this,
       attempt,
@@ -275,7 +297,12 @@
     const { count = 0, factor = 1 } = load.stragglers ?? {};
     this.servers = Array.from(
       { length: load.servers },
-      (_, index) => new SimulatedServer(load.slots, index < count ? factor : 1),
+      (_, index) =>
+        new SimulatedServer(
+          load.slots,
+          index < count ? factor : 1,
+          load.isSpeedKept ?? false,
+        ),
     );
     this.entries = Array.from(
       { length: load.entries },
@@ -330,6 +357,7 @@
   }
 
   #gossip(): void {
+    if (!(this.load.areCountsExchanged ?? true)) return;
     const isCrossDomainTick =
       this.now % CROSS_DOMAIN_INTERVAL_MILLISECONDS === 0;
     for (const [index, entry] of this.entries.entries()) {
--- a/packages/kernel/src/fleet_members.ts
+++ b/packages/kernel/src/fleet_members.ts
@@ -17,6 +17,9 @@
 /** Share of the sent heartbeats that are the most recent ones. */
 const MOST_RECENT_SHARE = 0.5;
 
+/** The list of live peers is used for each request and message. */
+const LIVE_PEERS_MILLISECONDS = 100;
+
 /** What entries know about an entry. */
 export type MemberRecord = {
   readonly incarnation: string;
@@ -78,6 +81,9 @@
   readonly #options: FleetMembersOptions;
   readonly #known = new Map<number, KnownMember>();
   readonly #ownTag: number;
+  #livePeers: MemberRecord[] = [];
+  /** When the list of live peers must be made again. */
+  #livePeersValidUntilMilliseconds = -Infinity;
   /** Number of entries that are not removed, including this one. */
   #entryCount = 1;
 
@@ -126,6 +132,7 @@
       changedAtMilliseconds: now,
       isLost: false,
     });
+    this.#livePeersValidUntilMilliseconds = -Infinity;
     this.#entryCount = this.#countEntries();
     return { kind: "joined", record };
   }
@@ -142,6 +149,7 @@
     const wasLost = known.isLost;
     known.isLost = false;
     if (hasNewState || wasLost) {
+      this.#livePeersValidUntilMilliseconds = -Infinity;
       known.changedAtMilliseconds = known.seenAtMilliseconds;
     }
     if (wasLost) return [{ kind: "joined", record }];
@@ -153,8 +161,15 @@
    * with the latest heartbeat counts, because the counter of the other does not
    * increase any more.
    */
-  livePeers(): MemberRecord[] {
-    return [...this.#livePeersByAddress().values()].map(({ record }) => record);
+  livePeers(): readonly MemberRecord[] {
+    const now = this.#options.clock();
+    if (now >= this.#livePeersValidUntilMilliseconds) {
+      this.#livePeersValidUntilMilliseconds = now + LIVE_PEERS_MILLISECONDS;
+      this.#livePeers = [...this.#livePeersByAddress().values()].map(
+        ({ record }) => record,
+      );
+    }
+    return this.#livePeers;
   }
 
   #livePeersByAddress(): Map<Address, KnownMember> {
--- a/packages/kernel/src/hedging.ts
+++ b/packages/kernel/src/hedging.ts
@@ -2,18 +2,21 @@
  * Decides when a slow idempotent request is hedged, that is, sent to a second
  * backend server while the first attempt is still running.
  *
- * A server may become several times slower while it processes a request, which
- * is then late although the server was a good choice. The decision is made at
- * the last moment at which a second server can still answer within the latency
- * objective, when most requests have already been answered. The first server is
- * then probed for its current slowdown.
+ * A server may start a request several times slower than usual, which is then
+ * late. The decision is made at the last moment at which a second server can
+ * still answer within the latency objective, when most requests have already
+ * been answered. The first server is then probed: it may be dead, and if the
+ * speed at which it started the request is not known, its current one counts.
  */
 export type HedgeInputs = {
   readonly elapsedMilliseconds: number;
   readonly objectiveMilliseconds: number;
   /** Mean service time of the route on an idle server of usual speed. */
   readonly serviceTimeMilliseconds: number;
-  /** Current slowdown of the first server; undefined if its probe failed. */
+  /**
+   * Slowdown of the first server when it started the request, or its current
+   * one if that is not known; undefined if its probe failed.
+   */
   readonly firstServerSlowdown: number | undefined;
 };
 
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -5,8 +5,9 @@
  * run several times slower for a few hundred milliseconds, and all slow down
  * when they are nearly full. The expected time is the service time of the
  * route, scaled by the slowdown of the server and by the requests queued there.
- * A request is also charged for slowing down others and for leaving its failure
- * domain.
+ * A request is also charged for slowing down others, for leaving its failure
+ * domain and for opening connections: a large fleet that spread its requests
+ * over all servers would open nearly as many connections as it has requests.
  */
 import type { ServerLoad } from "./server_load.ts";
 import type { FailureDomain, RandomSource } from "./types.ts";
@@ -39,9 +40,17 @@
   readonly random: RandomSource;
   readonly ownFailureDomain: FailureDomain;
   readonly crossDomainCost: CrossDomainCost;
+  readonly connectionCost: ConnectionCost;
   readonly staleEstimate: StaleEstimate;
 };
 
+/** Cost of opening connections, which servers and entries pay for. */
+export type ConnectionCost = {
+  /** Connections that have to be opened to use a server. */
+  readonly connectionsToOpen: (server: ServerLoad) => number;
+  readonly objectivesPerConnection: number;
+};
+
 /** Cost of sending a request to another failure domain. */
 export type CrossDomainCost = {
   readonly roundTripMilliseconds: number;
@@ -186,6 +195,8 @@
     total += context.crossDomainCost.roundTripMilliseconds +
       transferObjectives * objective;
   }
+  const { connectionsToOpen, objectivesPerConnection } = context.connectionCost;
+  total += connectionsToOpen(server) * objectivesPerConnection * objective;
   total += server.failureRate(context.now) * FAILURE_COST_OBJECTIVES *
     objective;
   if (server.isReportedUnhealthy) total *= UNHEALTHY_SCORE_FACTOR;
--- a/packages/kernel/src/placement_simulation_test.ts
+++ b/packages/kernel/src/placement_simulation_test.ts
@@ -100,3 +100,41 @@
     expect(share(load, IN_TIME, "inTime")).toBeGreaterThan(0.9);
   });
 });
+
+describe("placement of long requests in a large fleet", () => {
+  /**
+   * Requests keep the speed at which they started. Each entry has about one
+   * request a second, so its own requests tell it little about the load.
+   */
+  const LONG: SimulatedLoad = {
+    ...NOISY,
+    entries: 30,
+    maximumProbesPerSecond: 60,
+    requestsPerSecond: (at) => at < 20_000 ? 35 : 0,
+    seconds: 25,
+    serviceTimeMilliseconds: 900,
+    objectiveMilliseconds: 2_500,
+    deadlineMilliseconds: 20_000,
+    slowServerShare: 0.25,
+    isSpeedKept: true,
+    areCountsExchanged: false,
+  };
+
+  it("answers nearly all in time by probes alone", () => {
+    expect(share(LONG, IN_TIME, "inTime")).toBeGreaterThan(0.97);
+  });
+
+  it("gains little from the counts of other entries", () => {
+    const exchanging = { ...LONG, areCountsExchanged: true };
+    expect(share(LONG, IN_TIME, "inTime")).toBeGreaterThan(
+      share(exchanging, IN_TIME, "inTime") - 0.01,
+    );
+  });
+
+  it("is far worse without probes", () => {
+    const blind = { ...LONG, maximumProbesPerSecond: 0 };
+    expect(share(LONG, IN_TIME, "inTime")).toBeGreaterThan(
+      share(blind, IN_TIME, "inTime") + 0.1,
+    );
+  });
+});
--- a/packages/kernel/src/request_queue.ts
+++ b/packages/kernel/src/request_queue.ts
@@ -43,6 +43,15 @@
     return this.#requests.size;
   }
 
+  /** Shortest expected service time; infinite if no request is queued. */
+  get minimumServiceTimeMilliseconds(): number {
+    let minimum = Infinity;
+    for (const { serviceTimeMilliseconds } of this.#requests) {
+      minimum = Math.min(minimum, serviceTimeMilliseconds);
+    }
+    return minimum;
+  }
+
   add(request: QueuedRequest): void {
     this.#requests.add(request);
   }
--- a/packages/kernel/src/route_estimates.ts
+++ b/packages/kernel/src/route_estimates.ts
@@ -3,8 +3,8 @@
  * server of usual speed and the size of the answers.
  *
  * Service times are sampled only from requests that found a free slot and are
- * divided by the slowdown that the server reported; otherwise time spent in a
- * queue would count as service time.
+ * divided by the slowdown that the server reported right before; otherwise time
+ * spent in a queue would count as service time.
  */
 /** The first samples weigh more, so that they soon replace the defaults. */
 const MINIMUM_SAMPLE_WEIGHT = 0.05;
@@ -12,18 +12,28 @@
 const TIMEOUT_DECAY = 0.998;
 /** A timeout below this share of the usual one marks a retry by the caller. */
 const CALLER_RETRY_SHARE = 0.95;
-/** Assumed until the first answers of the route arrive. */
-const DEFAULT_SERVICE_TIME_MILLISECONDS = 70;
+/**
+ * Service time that is assumed until the first answers of the route arrive, as
+ * a share of the objective. In a large fleet an entry waits long for them.
+ */
+const DEFAULT_SERVICE_TIME_OBJECTIVES = 0.35;
 const DEFAULT_ANSWER_BYTES = 2_000;
 const DEFAULT_DOWNLOAD_BYTES = 100_000;
 
 export class RouteEstimates {
-  #serviceTimeMilliseconds = DEFAULT_SERVICE_TIME_MILLISECONDS;
+  #serviceTimeMilliseconds: number;
   #answerBytes: number;
   #usualTimeoutMilliseconds = 0;
   #sampleCount = 0;
 
-  constructor(isDownload: boolean) {
+  constructor(
+    { objectiveMilliseconds, isDownload }: {
+      readonly objectiveMilliseconds: number;
+      readonly isDownload: boolean;
+    },
+  ) {
+    this.#serviceTimeMilliseconds = DEFAULT_SERVICE_TIME_OBJECTIVES *
+      objectiveMilliseconds;
     this.#answerBytes = isDownload
       ? DEFAULT_DOWNLOAD_BYTES
       : DEFAULT_ANSWER_BYTES;
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -64,6 +64,7 @@
   /** Attempts of this entry that were started since the last report. */
   #sentSinceReport = 0;
   #report: TimestampedReport | undefined;
+  #isWithoutReports = false;
   #peerCounts = new Map<string, PeerCount>();
   #warmAtMilliseconds: number;
   #lastFailureRate = 0;
@@ -149,9 +150,20 @@
     if (atMilliseconds <= lastReportAt) return false;
     this.#report = { ...report, atMilliseconds };
     this.#sentSinceReport = 0;
+    this.#isWithoutReports = false;
     return true;
   }
 
+  /** Records an answer to a probe that told no load. */
+  recordMissingReport(): void {
+    if (this.#report === undefined) this.#isWithoutReports = true;
+  }
+
+  /** Whether a probe is expected to bring a report. */
+  get mayReport(): boolean {
+    return !this.#isWithoutReports;
+  }
+
   get lastReport(): TimestampedReport | undefined {
     return this.#report;
   }
