Gateway: a request takes over the connection of the probe before it

Ruled out: probes on the connections of Node's agent: it keeps its idle connections to itself. Change: ServerConnections asks for the connection of a probe that was answered in the last 250 ms before it opens one. A connection that answered just now has not been dropped by the server, which is more than an idle one can show.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -162,7 +162,11 @@
     this.#readSeeds = dependencies.readSeeds;
     const clock = this.#clock;
     const { instance } = options;
-    this.#servers = new ServerTable({ clock, ...TUNING.connections });
+    this.#servers = new ServerTable({
+      clock,
+      ...TUNING.connections,
+      takeConnection: (id) => this.#prober.takeConnection(id),
+    });
     this.#pauseDetector = new PauseDetector(
       clock,
       PAUSE_THRESHOLD_MILLISECONDS,
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -68,11 +68,15 @@
     });
   }
 
-  /** Connections that a probe and a request would have to open. */
+  /**
+   * Connections to open for a probe and the request after it, which may take
+   * over the connection of the probe. Where an idle one is left for the
+   * request, the probe's is kept for the next.
+   */
   #connectionsToOpen({ registration: { id } }: ServerLoad): number {
-    const { servers, prober } = this.#options;
-    const forProbe = prober.isConnected(id) ? 0 : 1;
-    return servers.find(id)?.connections.hasIdle ? forProbe : forProbe + 1;
+    const { prober, servers } = this.#options;
+    if (prober.isConnected(id)) return 0;
+    return servers.find(id)?.connections.hasIdle ? 0.5 : 1;
   }
 
   /**
--- a/packages/gateway/src/probe_connection.ts
+++ b/packages/gateway/src/probe_connection.ts
@@ -4,12 +4,12 @@
  * Probes outnumber requests, and each is a plain GET with a small answer: this
  * client takes a fraction of the processor time of Node's HTTP client. A
  * connection is reused only after an answer that declared its length and ended
- * there.
+ * there. A request that follows a probe may take over its connection.
  */
 import type { Buffer } from "node:buffer";
 import { connect, type Socket } from "node:net";
 import { splitAddress } from "@marigoldford/kernel/address";
-import type { Address } from "@marigoldford/kernel/types";
+import type { Address, Clock } from "@marigoldford/kernel/types";
 import { type AnswerHead, parseAnswerHead } from "./answer_head.ts";
 
 /** `undefined`: the connection broke or the answer was malformed. */
@@ -17,6 +17,9 @@
 
 type ProbeCallback = (answer: ProbeAnswer) => void;
 
+/** A connection that answered this recently was not dropped by the server. */
+const MAXIMUM_TAKE_OVER_AGE_MILLISECONDS = 250;
+
 const HEAD_END = "\r\n\r\n";
 /** Answers to health checks have a few hundred bytes of headers. */
 const MAXIMUM_HEAD_BYTES = 8 * 1024;
@@ -26,13 +29,18 @@
 export class ProbeConnection {
   readonly address: Address;
   #socket: Socket | undefined;
+  /** Listeners of the current socket, by event. */
+  #listeners: ReadonlyMap<string, (chunk: Buffer) => void> = new Map();
   #pending: ProbeCallback | undefined;
   #received = "";
   /** Bytes of the last answer's body that have not arrived yet. */
   #bodyBytesLeft = 0;
+  #answeredAtMilliseconds = -Infinity;
+  readonly #clock: Clock;
 
-  constructor(address: Address) {
+  constructor(address: Address, clock: Clock) {
     this.address = address;
+    this.#clock = clock;
   }
 
   get isOpen(): boolean {
@@ -51,6 +59,22 @@
     });
   }
 
+  /** Hands over the socket of a probe that was answered just now, if any. */
+  takeSocket(): Socket | undefined {
+    const socket = this.#socket;
+    const age = this.#clock() - this.#answeredAtMilliseconds;
+    const isUsable = socket !== undefined && socket.writable &&
+      this.#pending === undefined && this.#bodyBytesLeft === 0 &&
+      age <= MAXIMUM_TAKE_OVER_AGE_MILLISECONDS;
+    if (!isUsable) return undefined;
+    this.#reset();
+    for (const event of ["data", "error", "end", "close"]) {
+      const listener = this.#listeners.get(event);
+      if (listener !== undefined) socket.off(event, listener);
+    }
+    return socket.ref();
+  }
+
   close(): void {
     this.#socket?.destroy();
     this.#reset();
@@ -60,16 +84,19 @@
     const { host, port } = splitAddress(this.address);
     const socket = connect({ host, port, noDelay: true });
     socket.unref();
-    socket.on("data", (chunk) => {
-      if (socket === this.#socket) this.#onData(chunk);
-    });
-    // Every error is followed by a close event.
-    socket.on("error", () => {});
-    for (const event of ["end", "close"]) {
-      socket.on(event, () => {
-        if (socket === this.#socket) this.close();
-      });
-    }
+    const onEnd = () => {
+      if (socket === this.#socket) this.close();
+    };
+    this.#listeners = new Map<string, (chunk: Buffer) => void>([
+      ["data", (chunk) => {
+        if (socket === this.#socket) this.#onData(chunk);
+      }],
+      // Every error is followed by a close event.
+      ["error", () => {}],
+      ["end", onEnd],
+      ["close", onEnd],
+    ]);
+    for (const [event, listener] of this.#listeners) socket.on(event, listener);
     return socket;
   }
 
@@ -98,6 +125,7 @@
     const body = this.#received.length - end - HEAD_END.length;
     this.#received = "";
     if (head === undefined) return this.close();
+    this.#answeredAtMilliseconds = this.#clock();
     this.#resolveProbe(head);
     this.#keepOrClose(head, body);
   }
--- a/packages/gateway/src/probe_connection_test.ts
+++ b/packages/gateway/src/probe_connection_test.ts
@@ -41,7 +41,10 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
-  connection = new ProbeConnection(`127.0.0.1:${port}`);
+  connection = new ProbeConnection(
+    `127.0.0.1:${port}`,
+    () => performance.now(),
+  );
   return {
     connection,
     connections: () => sockets.length,
@@ -103,6 +106,27 @@
     expect(await connection.get("/health")).toBeUndefined();
   });
 
+  it("hands over its socket once, right after an answer", async () => {
+    const { connection, connections } = await listen(
+      [COMPLETE_HEAD + "ok"],
+      [COMPLETE_HEAD + "ok"],
+    );
+    await connection.get("/health");
+    const socket = connection.takeSocket();
+    expect(socket?.listenerCount("data")).toBe(0);
+    expect(connection.takeSocket()).toBeUndefined();
+    expect((await connection.get("/health"))?.status).toBe(200);
+    expect(connections()).toBe(2);
+    expect(socket?.destroyed).toBe(false);
+    socket?.destroy();
+  });
+
+  it("does not hand over a socket on which bytes are missing", async () => {
+    const { connection } = await listen([COMPLETE_HEAD + "o"]);
+    await connection.get("/health");
+    expect(connection.takeSocket()).toBeUndefined();
+  });
+
   it("abandons a pending probe when it is closed", async () => {
     const { connection, probesReceived } = await listen("silence", [
       COMPLETE_HEAD,
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -7,6 +7,7 @@
  * live members in the server's failure domain, or among all if there are none.
  * All probes draw on one budget.
  */
+import type { Socket } from "node:net";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import type { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { highestRanked } from "@marigoldford/kernel/rendezvous";
@@ -80,6 +81,11 @@
     return this.#connections.get(id)?.isOpen ?? false;
   }
 
+  /** Connection on which a server has just answered a probe, if it is idle. */
+  takeConnection(id: string): Socket | undefined {
+    return this.#connections.get(id)?.takeSocket();
+  }
+
   /** Makes the next tick assign the servers to entries again. */
   reassign(): void {
     this.#assignedAt = -Infinity;
@@ -166,7 +172,7 @@
     let connection = this.#connections.get(id);
     if (connection?.address === address) return connection;
     connection?.close();
-    connection = new ProbeConnection(address);
+    connection = new ProbeConnection(address, this.#options.clock);
     this.#connections.set(id, connection);
     return connection;
   }
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -64,6 +64,7 @@
     },
   });
   const table = new ServerTable({
+    takeConnection: () => undefined,
     clock,
     idleMilliseconds: 1_000,
     maximumSockets: 4,
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -22,7 +22,6 @@
   detectReset,
   hasSocketFailed,
   type ServerConnections,
-  trackSocketErrors,
 } from "./server_connections.ts";
 
 export type AttemptOptions = {
@@ -230,7 +229,6 @@
     );
     if (!socket.connecting) return this.#onConnected();
     socket.setNoDelay(true);
-    trackSocketErrors(socket);
     socket.once("connect", () => this.#onConnected());
   }
 
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -18,6 +18,8 @@
   readonly idleMilliseconds: number;
   /** Learned limit, which is shared by the servers of a service. */
   readonly idleLimit: IdleLimit;
+  /** An open connection to the server that nothing else uses, if any. */
+  readonly takeConnection: () => Socket | undefined;
 };
 
 type IdlePeriod = {
@@ -34,11 +36,6 @@
 /** Servers ignore an empty line before a request (RFC 9112, section 2.2). */
 const EMPTY_LINE = "\r\n";
 
-/** Records whether a connection ends by an error, such as a reset. */
-export function trackSocketErrors(socket: Socket): void {
-  socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
-}
-
 /**
  * Detects whether a connection that has ended was closed or reset. Node reports
  * a reset that arrives together with the last bytes as a plain end; only a
@@ -76,6 +73,17 @@
     this.#options = options;
   }
 
+  /** Called by Node when a request needs a connection and none is idle. */
+  override createConnection(
+    ...parameters: Parameters<Agent["createConnection"]>
+  ): Socket {
+    const socket = this.#options.takeConnection() ??
+      super.createConnection(...parameters) as Socket;
+    // Records whether the connection ends by an error, such as a reset.
+    socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
+    return socket;
+  }
+
   /** Whether a request would find an open connection. */
   get hasIdle(): boolean {
     for (const _host in this.freeSockets) return true;
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -2,6 +2,7 @@
  * The backend servers that an entry may use, by service, with their estimated
  * load and the connections to them.
  */
+import type { Socket } from "node:net";
 import { IdleLimit } from "@marigoldford/kernel/idle_limit";
 import type { DiscoveryState } from "@marigoldford/kernel/discovery_state";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
@@ -22,6 +23,8 @@
   /** Idle connections are closed after this time, or earlier; see IdleLimit. */
   readonly idleMilliseconds: number;
   readonly maximumSockets: number;
+  /** An open connection to a server that nothing else uses, if any. */
+  readonly takeConnection: (id: string) => Socket | undefined;
 };
 
 /**
@@ -105,6 +108,7 @@
       connections: new ServerConnections({
         ...this.#options,
         idleLimit: this.#idleLimitOf(registration.service),
+        takeConnection: () => this.#options.takeConnection(registration.id),
       }),
       tag: shortTag(registration.id),
     });
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -46,7 +46,7 @@
 
 /** Cost of opening connections, which servers and entries pay for. */
 export type ConnectionCost = {
-  /** Connections that have to be opened to use a server. */
+  /** Mean number of connections that a use of a server opens. */
   readonly connectionsToOpen: (server: ServerLoad) => number;
   readonly objectivesPerConnection: number;
 };
