Discovery: entries that take over watch on, and a starting fleet waits less

Change: the first entries in the order of watchers watch on for 3 s after they have taken over; a failed watcher only backs off; a starting entry waits 60 ms, and 25 ms more for each doubling of its place.

A probe's connection is taken over only for the address of the registration (found by reading; not seen).

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -56,7 +56,14 @@
  * entry falls back to its own watch well before.
  */
 const OUTAGE_MILLISECONDS = 3_000;
+/**
+ * How long an entry that took over watches: until the failed watchers are no
+ * longer members, or have called the service again.
+ */
+const ACTING_MILLISECONDS = 3_000;
 const IDLE_CHECK_MILLISECONDS = 100;
+/** An entry without a state serves no caller. */
+const START_CHECK_MILLISECONDS = 15;
 const MINIMUM_BACKOFF_MILLISECONDS = 100;
 const MAXIMUM_BACKOFF_MILLISECONDS = 800;
 
@@ -70,8 +77,8 @@
   #isServiceLost = false;
   #failuresInRow = 0;
   #mustReadAll = true;
-  /** After a failed call, other entries watch until this time if they can. */
-  #ineligibleUntilMilliseconds = -Infinity;
+  /** After it has taken over, this entry watches until this time. */
+  #actingUntilMilliseconds = -Infinity;
 
   constructor(options: DiscoverySynchronizerOptions) {
     this.#options = options;
@@ -183,19 +190,23 @@
     while (!this.#isStopped) {
       const reason = this.#watchReason();
       this.#recordWatching(reason);
-      if (reason === "not-needed") await sleep(IDLE_CHECK_MILLISECONDS);
+      if (reason === "not-needed") await sleep(this.#idleCheckMilliseconds());
       else await this.#readOnce(reason);
     }
   }
 
+  #idleCheckMilliseconds(): number {
+    return this.state.revision === 0
+      ? START_CHECK_MILLISECONDS
+      : IDLE_CHECK_MILLISECONDS;
+  }
+
   #watchReason() {
     const { settings, self, eligibleWatchers } = this.#options;
-    const isIneligible = this.#now() < this.#ineligibleUntilMilliseconds;
     return watcherReason({
       self,
-      eligible: isIneligible
-        ? eligibleWatchers().filter((member) => member !== self)
-        : eligibleWatchers(),
+      eligible: eligibleWatchers(),
+      isActing: this.#now() < this.#actingUntilMilliseconds,
       watcherCount: settings.watcherCount,
       hasState: this.state.revision > 0,
       uptimeMilliseconds: this.#now() - this.#startedAtMilliseconds,
@@ -218,15 +229,20 @@
   async #readOnce(reason: "chosen" | "news-too-old"): Promise<void> {
     const { settings } = this.#options;
     const baseRevision = this.state.revision;
+    // An old state is first confirmed or replaced at once.
+    const isConfirmed = this.stateAgeMilliseconds <
+      settings.maximumStateAgeMilliseconds;
     const failure = this.#mustReadAll || baseRevision === 0
       ? await this.#readAll(baseRevision)
       : await this.#watch(
         baseRevision,
-        // An old state is confirmed or replaced at once.
-        reason === "chosen" ? settings.watchWaitMilliseconds : 0,
+        reason === "chosen" || isConfirmed ? settings.watchWaitMilliseconds : 0,
       );
     this.#options.onServiceCall(failure?.kind ?? "answered");
-    if (failure !== undefined) await this.#onFailure(failure);
+    if (failure !== undefined) return await this.#onFailure(failure);
+    const hadState = baseRevision > 0;
+    if (!hadState || isConfirmed || reason === "chosen") return;
+    this.#actingUntilMilliseconds = this.#now() + ACTING_MILLISECONDS;
   }
 
   async #readAll(
@@ -279,7 +295,6 @@
       MAXIMUM_BACKOFF_MILLISECONDS,
       MINIMUM_BACKOFF_MILLISECONDS * 2 ** doublings,
     );
-    this.#ineligibleUntilMilliseconds = this.#now() + 4 * backoffMilliseconds;
     await sleep(backoffMilliseconds * (0.75 + this.#options.random() / 2));
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -165,7 +165,8 @@
     this.#servers = new ServerTable({
       clock,
       ...TUNING.connections,
-      takeConnection: (id) => this.#prober.takeConnection(id),
+      takeConnection: (registration) =>
+        this.#prober.takeConnection(registration),
     });
     this.#pauseDetector = new PauseDetector(
       clock,
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -11,6 +11,7 @@
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import type { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { highestRanked } from "@marigoldford/kernel/rendezvous";
+import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type {
   Clock,
@@ -81,9 +82,17 @@
     return this.#connections.get(id)?.isOpen ?? false;
   }
 
-  /** Connection on which a server has just answered a probe, if it is idle. */
-  takeConnection(id: string): Socket | undefined {
-    return this.#connections.get(id)?.takeSocket();
+  /**
+   * Connection on which a server has just answered a probe, if it is idle.
+   * Where servers are probed all the time, their connections stay in use.
+   */
+  takeConnection({ id, address }: ServerRegistration): Socket | undefined {
+    if (this.#options.areReportsExchanged()) return undefined;
+    const connection = this.#connections.get(id);
+    // The same server may have moved to another address.
+    return connection?.address === address
+      ? connection.takeSocket()
+      : undefined;
   }
 
   /** Makes the next tick assign the servers to entries again. */
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -24,7 +24,9 @@
   readonly idleMilliseconds: number;
   readonly maximumSockets: number;
   /** An open connection to a server that nothing else uses, if any. */
-  readonly takeConnection: (id: string) => Socket | undefined;
+  readonly takeConnection: (
+    registration: ServerRegistration,
+  ) => Socket | undefined;
 };
 
 /**
@@ -108,7 +110,7 @@
       connections: new ServerConnections({
         ...this.#options,
         idleLimit: this.#idleLimitOf(registration.service),
-        takeConnection: () => this.#options.takeConnection(registration.id),
+        takeConnection: () => this.#options.takeConnection(registration),
       }),
       tag: shortTag(registration.id),
     });
--- a/packages/kernel/src/watcher_selection.ts
+++ b/packages/kernel/src/watcher_selection.ts
@@ -11,8 +11,10 @@
 
 export type WatcherInputs = {
   readonly self: string;
-  /** Live members that the discovery service has not refused recently. */
+  /** Live members, including this entry. */
   readonly eligible: readonly string[];
+  /** Whether this entry took over recently and still watches for it. */
+  readonly isActing: boolean;
   readonly watcherCount: number;
   /** Whether this entry has a state at all. */
   readonly hasState: boolean;
@@ -24,8 +26,14 @@
 
 export type WatcherReason = "chosen" | "news-too-old" | "not-needed";
 
-/** Time in which a starting entry learns of its peers and their state. */
-const START_MILLISECONDS = 300;
+/**
+ * Time in which a starting entry learns of its peers: callers wait for it while
+ * the whole fleet restarts.
+ */
+const START_MILLISECONDS = 60;
+const START_DELAY_PER_DOUBLING_MILLISECONDS = 25;
+/** Entries that may watch in place of each watcher. */
+const ACTING_ENTRIES_PER_WATCHER = 4;
 /** Time for the state of the first half of the others to reach the rest. */
 const DELAY_PER_DOUBLING_MILLISECONDS = 75;
 
@@ -33,22 +41,17 @@
   const { self, eligible, watcherCount } = inputs;
   const rank = rankOf("discovery-watcher", self, eligible);
   const position = rank < 0 ? eligible.length : rank;
-  const delay = takeOverDelayMilliseconds(position, watcherCount);
+  const doublings = Math.log2(Math.max(1, position / watcherCount));
+  const mayAct = position < ACTING_ENTRIES_PER_WATCHER * watcherCount;
+  if (inputs.isActing && mayAct) return "news-too-old";
   if (!inputs.hasState) {
+    const delay = doublings * START_DELAY_PER_DOUBLING_MILLISECONDS;
     return inputs.uptimeMilliseconds < START_MILLISECONDS + delay
       ? "not-needed"
       : "news-too-old";
   }
-  const limit = inputs.maximumStateAgeMilliseconds + delay;
+  const limit = inputs.maximumStateAgeMilliseconds +
+    doublings * DELAY_PER_DOUBLING_MILLISECONDS;
   if (inputs.stateAgeMilliseconds > limit) return "news-too-old";
   return position < watcherCount ? "chosen" : "not-needed";
 }
-
-/** How much longer than the chosen watchers an entry waits for a state. */
-function takeOverDelayMilliseconds(
-  position: number,
-  watcherCount: number,
-): number {
-  const doublings = Math.log2(Math.max(1, position / watcherCount));
-  return doublings * DELAY_PER_DOUBLING_MILLISECONDS;
-}
