Hedging: the speed at the start decides, the current one only within the same phase

Cause: since a hedge followed the slowdown reported before the start alone. On requests shorter than a slow phase the current slowdown also tells about the start, as the report may have come just before a phase began. Change: kernel/hedging.ts takes both slowdowns and uses the current one up to 300 ms. Measured: hedging_test.ts, 3 passed.

--- a/packages/gateway/src/hedge_timer.ts
+++ b/packages/gateway/src/hedge_timer.ts
@@ -4,6 +4,7 @@
  */
 import {
   decideHedge,
+  type FirstServerSlowdown,
   type HedgeDecision,
   hedgeDelayMilliseconds,
 } from "@marigoldford/kernel/hedging";
@@ -21,11 +22,8 @@
    * Whether exactly one attempt runs and another may be started alongside it.
    */
   readonly mayHedge: () => boolean;
-  /**
-   * Slowdown of the first server when it started the request, or else its
-   * current one; undefined if it does not answer.
-   */
-  readonly probeSlowdown: () => Promise<number | undefined>;
+  /** Probes the first server; undefined if it does not answer. */
+  readonly probeFirstServer: () => Promise<FirstServerSlowdown | undefined>;
   /** Sends the hedge; false if it cannot be sent now. */
   readonly sendHedge: () => boolean;
 };
@@ -61,11 +59,11 @@
   }
 
   async #check(): Promise<void> {
-    const { mayHedge, probeSlowdown, sendHedge } = this.#options;
+    const { mayHedge, probeFirstServer, sendHedge } = this.#options;
     if (!mayHedge()) return;
-    const firstServerSlowdown = await probeSlowdown();
+    const firstServer = await probeFirstServer();
     if (!mayHedge()) return;
-    const decision = this.#decide(firstServerSlowdown);
+    const decision = this.#decide(firstServer);
     if (decision === "send" && sendHedge()) return;
     this.#schedule(
       decision === "late"
@@ -74,7 +72,7 @@
     );
   }
 
-  #decide(firstServerSlowdown: number | undefined): HedgeDecision {
+  #decide(firstServer: FirstServerSlowdown | undefined): HedgeDecision {
     const {
       objectiveMilliseconds,
       serviceTimeMilliseconds,
@@ -84,7 +82,7 @@
       elapsedMilliseconds: elapsedMilliseconds(),
       objectiveMilliseconds,
       serviceTimeMilliseconds: serviceTimeMilliseconds(),
-      firstServerSlowdown,
+      firstServer,
     });
   }
 }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -359,11 +359,12 @@
       serviceTimeMilliseconds: () => this.#serviceTimeMilliseconds,
       elapsedMilliseconds: () => this.#elapsedMilliseconds,
       mayHedge: () => this.#mayHedge(),
-      probeSlowdown: async () => {
-        const [first] = this.#runningAttempts;
-        const { slowdownAtStart, server } = first;
+      probeFirstServer: async () => {
+        const [{ slowdownAtStart, server }] = this.#runningAttempts;
         const current = await this.#context.placer.probeSlowdown(server);
-        return current === undefined ? undefined : slowdownAtStart ?? current;
+        return current === undefined
+          ? undefined
+          : { atStart: slowdownAtStart, current };
       },
       sendHedge: () => {
         const isSent = this.#hasOtherServer("hedge") &&
--- a/packages/kernel/src/hedging.ts
+++ b/packages/kernel/src/hedging.ts
@@ -5,19 +5,22 @@
  * A server may start a request several times slower than usual, which is then
  * late. The decision is made at the last moment at which a second server can
  * still answer within the latency objective, when most requests have already
- * been answered. The first server is then probed: it may be dead, and if the
- * speed at which it started the request is not known, its current one counts.
+ * been answered. The first server is then probed: it may be dead, and its
+ * current speed tells something about the speed at the start.
  */
 export type HedgeInputs = {
   readonly elapsedMilliseconds: number;
   readonly objectiveMilliseconds: number;
   /** Mean service time of the route on an idle server of usual speed. */
   readonly serviceTimeMilliseconds: number;
-  /**
-   * Slowdown of the first server when it started the request, or its current
-   * one if that is not known; undefined if its probe failed.
-   */
-  readonly firstServerSlowdown: number | undefined;
+  /** Undefined if the probe of the first server failed. */
+  readonly firstServer: FirstServerSlowdown | undefined;
+};
+
+export type FirstServerSlowdown = {
+  /** As reported right before it started the request, if it did so at once. */
+  readonly atStart: number | undefined;
+  readonly current: number;
 };
 
 /**
@@ -38,6 +41,8 @@
  * is considered stuck.
  */
 const STUCK_FACTOR = 2.2;
+/** Slow phases of shared machines last about this long in production. */
+const SLOW_PHASE_MILLISECONDS = 300;
 /** Requests without an answer for this many objectives are always hedged. */
 const MAXIMUM_UNHEDGED_OBJECTIVES = 2;
 
@@ -57,9 +62,24 @@
     inputs;
   if (elapsed > objective * MAXIMUM_UNHEDGED_OBJECTIVES) return "send";
   if (elapsed + inputs.serviceTimeMilliseconds > objective) return "late";
-  if (inputs.firstServerSlowdown === undefined) return "send";
-  if (inputs.firstServerSlowdown >= SLOW_SERVER_SLOWDOWN) return "send";
+  if (inputs.firstServer === undefined) return "send";
+  const slowdown = likelySlowdownAtStart(inputs.firstServer, elapsed);
+  if (slowdown >= SLOW_SERVER_SLOWDOWN) return "send";
   return elapsed > STUCK_FACTOR * inputs.serviceTimeMilliseconds
     ? "send"
     : "wait";
 }
+
+/**
+ * A server that is slow now was probably slow at the start, if that was in the
+ * same phase: the report before the start may have come too early.
+ */
+function likelySlowdownAtStart(
+  { atStart, current }: FirstServerSlowdown,
+  elapsedMilliseconds: number,
+): number {
+  if (atStart === undefined) return current;
+  return elapsedMilliseconds <= SLOW_PHASE_MILLISECONDS
+    ? Math.max(atStart, current)
+    : atStart;
+}
--- a/packages/kernel/src/hedging_test.ts
+++ b/packages/kernel/src/hedging_test.ts
@@ -57,7 +57,7 @@
         elapsedMilliseconds: at,
         objectiveMilliseconds: OBJECTIVE_MILLISECONDS,
         serviceTimeMilliseconds: SERVICE_TIME_MILLISECONDS,
-        firstServerSlowdown: first(at),
+        firstServer: { atStart: undefined, current: first(at) },
       });
       if (decision !== "send") continue;
       hedgeCount += 1;
@@ -84,7 +84,20 @@
       elapsedMilliseconds: 180,
       objectiveMilliseconds: 200,
       serviceTimeMilliseconds: 60,
-      firstServerSlowdown: 4,
+      firstServer: { atStart: undefined, current: 4 },
     })).toBe("late");
   });
+
+  it("does not hedge for a slow phase that began after the start", () => {
+    const long = {
+      elapsedMilliseconds: 1_340,
+      objectiveMilliseconds: 2_500,
+      serviceTimeMilliseconds: 920,
+    };
+    expect(decideHedge({ ...long, firstServer: { atStart: 1, current: 4 } }))
+      .toBe("wait");
+    expect(decideHedge({ ...long, firstServer: { atStart: 4, current: 1 } }))
+      .toBe("send");
+    expect(decideHedge({ ...long, firstServer: undefined })).toBe("send");
+  });
 });
