--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -230,18 +230,18 @@
     const { settings } = this.#options;
     const baseRevision = this.state.revision;
     // An old state is first confirmed or replaced at once.
-    const isConfirmed = this.stateAgeMilliseconds <
+    const isFresh = this.stateAgeMilliseconds <
       settings.maximumStateAgeMilliseconds;
     const failure = this.#mustReadAll || baseRevision === 0
       ? await this.#readAll(baseRevision)
       : await this.#watch(
         baseRevision,
-        reason === "chosen" || isConfirmed ? settings.watchWaitMilliseconds : 0,
+        reason === "chosen" || isFresh ? settings.watchWaitMilliseconds : 0,
       );
     this.#options.onServiceCall(failure?.kind ?? "answered");
     if (failure !== undefined) return await this.#onFailure(failure);
     const hadState = baseRevision > 0;
-    if (!hadState || isConfirmed || reason === "chosen") return;
+    if (!hadState || isFresh || reason === "chosen") return;
     this.#actingUntilMilliseconds = this.#now() + ACTING_MILLISECONDS;
   }
 
