--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -141,6 +141,32 @@
   });
 });
 
+describe("the cost of connections", () => {
+  const connectionCost = {
+    connectionsToOpen: ({ registration }: ServerLoad) =>
+      registration.id === "connected" ? 0 : 1,
+    objectivesPerConnection: 0.1,
+  };
+
+  function placeWith(slowdown: number): string | undefined {
+    const servers = [
+      server({ id: "other", slowdown: 1 }),
+      server({ id: "connected", slowdown }),
+    ];
+    const result = place(servers, REQUEST, { ...CONTEXT, connectionCost });
+    if (result.kind !== "placed") return undefined;
+    return result.placement.server.registration.id;
+  }
+
+  it("prefers a connected server among equally fast ones", () => {
+    expect(placeWith(1)).toBe("connected");
+  });
+
+  it("does not prefer a connected server that is slow", () => {
+    expect(placeWith(4)).toBe("other");
+  });
+});
+
 describe("concurrencyLimit", () => {
   it("lets a quarter of the slots queue, at least one", () => {
     expect([1, 2, 6, 10].map(concurrencyLimit)).toEqual([2, 3, 8, 13]);
