Log and count the request limits that backend servers name

Placement inputs carry the limit, and the metrics page has limited_servers and requests_to_limited_servers. No request is placed differently.

--- a/packages/gateway/src/caller_protocol.ts
+++ b/packages/gateway/src/caller_protocol.ts
@@ -9,6 +9,7 @@
 import type { IncomingMessage } from "node:http";
 import { PlugInRegistry } from "@marigoldford/kernel/plug_ins";
 import type { ServerReport } from "@marigoldford/kernel/server_load";
+import type { ServerStatement } from "@marigoldford/kernel/server_restrictions";
 import type { AnswerHeaders } from "./answer_head.ts";
 
 /** Header names in lower case. */
@@ -29,17 +30,39 @@
   readonly load: string;
 };
 
+/** What an answer says of its server, and the headers that say it wrongly. */
+export type StatementReading = {
+  readonly statement: ServerStatement;
+  readonly malformed: readonly string[];
+};
+
+export type StatementReader = (headers: AnswerHeaders) => StatementReading;
+
 export type CallerProtocol = {
   readonly headers: ProtocolHeaders;
   /** Reads a load header; undefined if it is missing or malformed. */
   readonly readLoad: (headers: AnswerHeaders) => ServerReport | undefined;
+  /** Reads what an answer says of the server that sent it. */
+  readonly readStatement: StatementReader;
 };
 
-/** Creates a protocol that differs from others in its header names only. */
-export function makeHeaderProtocol(headers: ProtocolHeaders): CallerProtocol {
+const SAYS_NOTHING: StatementReading = {
+  statement: { requestLimit: "none" },
+  malformed: [],
+};
+
+/**
+ * Creates a protocol that differs from others in its header names and in what
+ * servers say of themselves; by default they say nothing.
+ */
+export function makeHeaderProtocol(
+  headers: ProtocolHeaders,
+  readStatement: StatementReader = () => SAYS_NOTHING,
+): CallerProtocol {
   return {
     headers,
     readLoad: (answer) => parseLoad(singleHeader(answer, headers.load)),
+    readStatement,
   };
 }
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -2,7 +2,7 @@
  * The events that an entry writes to its log, with their fields.
  */
 import type { EventFields, EventLog } from "@marigoldford/logger/event_log";
-
+import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import type { PlacementInputs } from "./server_attempt.ts";
 
 export type GatewayEvent =
@@ -30,6 +30,13 @@
     from: string;
     revision?: number;
   }
+  | {
+    event: "request-limit";
+    server: string;
+    service: string;
+    requestLimit: RequestLimit;
+  }
+  | { event: "server-statement-refused"; server: string; detail: string }
   | { event: "entry-changed"; entry: string; change: string; state: string }
   | {
     event: "discovery-lost" | "discovery-regained";
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -10,6 +10,7 @@
 import type { GatewayMetrics } from "./metrics.ts";
 import type { Placer } from "./placer.ts";
 import type { ServiceStates } from "./service_states.ts";
+import type { ServerStatements } from "./server_statements.ts";
 import type { ServerTable } from "./server_table.ts";
 
 export type ExchangeContext = {
@@ -18,6 +19,7 @@
   readonly protocol: CallerProtocol;
   readonly router: SnapshotRouter;
   readonly servers: ServerTable;
+  readonly statements: ServerStatements;
   readonly placer: Placer;
   readonly metrics: GatewayMetrics;
   readonly writeEvent: WriteEvent;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { MissingRevision } from "@marigoldford/kernel/missing_revision";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
+import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Address } from "@marigoldford/kernel/types";
 import { EventLog } from "@marigoldford/logger/event_log";
@@ -39,6 +40,7 @@
 } from "./plug_ins.ts";
 import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
+import { ServerStatements } from "./server_statements.ts";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
 import { TUNING } from "./tuning.ts";
@@ -57,6 +59,7 @@
 
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
 const PAUSE_THRESHOLD_MILLISECONDS = 600;
+/** Also the interval at which statements of servers that are gone expire. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5_000;
 const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
 const MILLISECONDS_IN_SECOND = 1_000;
@@ -139,6 +142,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #router = new SnapshotRouter(Math.random);
   readonly #services: ServiceStates;
+  readonly #statements: ServerStatements;
   readonly #servers: ServerTable;
   readonly #datagramSocket: DatagramSocket;
   readonly #frameConnections: FrameConnections;
@@ -164,11 +168,19 @@
     this.#readSeeds = dependencies.readSeeds;
     const clock = this.#clock;
     const { instance } = options;
+    this.#statements = new ServerStatements({
+      clock,
+      protocol: dependencies.protocol,
+      metrics: this.#metrics,
+      writeEvent: this.#writeEvent,
+    });
     this.#servers = new ServerTable({
       clock,
       ...TUNING.connections,
       takeConnection: (registration) =>
         this.#prober.takeConnection(registration),
+      restrictionsOf: (registration) =>
+        this.#statements.restrictionsOf(registration),
     });
     this.#pauseDetector = new PauseDetector(
       clock,
@@ -273,7 +285,10 @@
     this.#loadExchange.start();
     this.#prober.start();
     this.#runEvery(HOUSEKEEPING_INTERVAL_MILLISECONDS, () => this.#housekeep());
-    this.#runEvery(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => this.#logTraffic());
+    this.#runEvery(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => {
+      this.#logTraffic();
+      this.#forgetStatements();
+    });
   }
 
   stop(): void {
@@ -393,6 +408,7 @@
       protocol,
       router: this.#router,
       servers: this.#servers,
+      statements: this.#statements,
       placer: this.#placer,
       metrics: this.#metrics,
       writeEvent: this.#writeEvent,
@@ -602,6 +618,12 @@
     this.#discovery.markStale();
   }
 
+  #forgetStatements(): void {
+    const used = new Set<ServerRestrictions>();
+    for (const { load } of this.#servers.all()) used.add(load.restrictions);
+    this.#statements.expire((restrictions) => used.has(restrictions));
+  }
+
   /**
    * Whether the wall clock has shifted against the monotonic clock, which does
    * not advance while the instance is suspended.
@@ -623,10 +645,19 @@
     });
   }
 
+  #countLimitedServers(): number {
+    let count = 0;
+    for (const { load } of this.#servers.all()) {
+      if (load.restrictions.requestLimit !== "none") count += 1;
+    }
+    return count;
+  }
+
   #metricsText(): string {
     return this.#metrics.text({
       requests_in_progress: this.#callServer.inProgress,
       servers: this.#servers.size,
+      limited_servers: this.#countLimitedServers(),
       peers: this.#fleet.members.livePeers().length,
       configuration_version: this.#router.snapshot?.version ?? 0,
       discovery_revision: this.#discovery.state.revision,
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -313,6 +313,8 @@
       clock: this.#context.clock,
       hooks: {
         onAnswerHead: (attempt, answer) => this.#onAnswerHead(attempt, answer),
+        onStatement: ({ server }, { headers }) =>
+          this.#context.statements.recordAnswer(server, headers),
         onBufferedAnswer: (attempt, answer) =>
           this.#onBufferedAnswer(attempt, answer),
         onStreamedAnswer: (attempt, answer) =>
@@ -321,6 +323,9 @@
       },
     });
     server.recordStart(attempt);
+    if (attempt.placementInputs.requestLimit !== "none") {
+      this.#context.metrics.incrementCounter("requests_to_limited_servers");
+    }
     this.#context.onInFlightChange();
     this.#runningAttempts.add(attempt);
     if (reason !== "first") {
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -17,6 +17,7 @@
 import { GatewayMetrics } from "./metrics.ts";
 import { Placer } from "./placer.ts";
 import { RequestExchange } from "./request_exchange.ts";
+import { ServerStatements } from "./server_statements.ts";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
 
@@ -63,8 +64,17 @@
       idleTimeoutMilliseconds: 1_000,
     },
   });
+  const protocol = CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap();
+  const metrics = new GatewayMetrics();
+  const statements = new ServerStatements({
+    clock,
+    protocol,
+    metrics,
+    writeEvent: () => {},
+  });
   const table = new ServerTable({
     takeConnection: () => undefined,
+    restrictionsOf: (registration) => statements.restrictionsOf(registration),
     clock,
     idleMilliseconds: 1_000,
     maximumSockets: 4,
@@ -95,7 +105,8 @@
   return {
     clock,
     connectTimeoutMilliseconds: 1_000,
-    protocol: CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap(),
+    protocol,
+    statements,
     router,
     servers: table,
     placer: new Placer({
@@ -111,7 +122,7 @@
         typeof Placer
       >[0]["prober"],
     }),
-    metrics: new GatewayMetrics(),
+    metrics,
     writeEvent: () => {},
     services: new ServiceStates({
       clock,
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -14,6 +14,7 @@
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
 import type { Placement } from "@marigoldford/kernel/placement";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
+import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
 import { limitBytesBeforeAnswer } from "@marigoldford/http_answers/head_limit";
 import { type CallerProtocol, headerValue } from "./caller_protocol.ts";
@@ -61,6 +62,14 @@
     attempt: ServerAttempt,
     answer: IncomingMessage,
   ) => void;
+  /**
+   * Called with the head of an answer whose statements about its server count:
+   * of a complete one, one that is streamed, or a refusal.
+   */
+  readonly onStatement: (
+    attempt: ServerAttempt,
+    answer: IncomingMessage,
+  ) => void;
   readonly onBufferedAnswer: (
     attempt: ServerAttempt,
     answer: BufferedAnswer,
@@ -85,6 +94,7 @@
   readonly reportAgeMilliseconds?: number;
   readonly failureDomain: string;
   readonly isCold: boolean;
+  readonly requestLimit: RequestLimit;
 };
 
 function placementInputsOf(
@@ -102,6 +112,7 @@
       : Math.round(now - lastReport.atMilliseconds),
     failureDomain: server.registration.failureDomain,
     isCold: server.isCold(now),
+    requestLimit: server.restrictions.requestLimit,
   };
 }
 
@@ -313,6 +324,7 @@
     }
     if (isRefusal || (status === 421 && id !== undefined)) {
       this.#options.hooks.onAnswerHead(this, answer);
+      this.#options.hooks.onStatement(this, answer);
       return { kind: "refused-by-server", status };
     }
     if (status === 421) return { kind: "refused-by-server", status };
@@ -342,6 +354,7 @@
       this.#phase = "streaming";
       answer.pause();
       answer.removeAllListeners("data");
+      this.#options.hooks.onStatement(this, answer);
       this.#options.hooks.onStreamedAnswer(this, {
         kind: "stream",
         head: answer,
@@ -360,6 +373,7 @@
     if (this.#phase !== "buffering") return;
     if (!isComplete) return this.#onConnectionError();
     this.#end();
+    this.#options.hooks.onStatement(this, answer);
     this.#options.hooks.onBufferedAnswer(this, {
       kind: "buffered",
       head: answer,
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -7,6 +7,7 @@
 import type { DiscoveryState } from "@marigoldford/kernel/discovery_state";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
 import { ServerLoad } from "@marigoldford/kernel/server_load";
+import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
 import type { ServiceName } from "@marigoldford/kernel/types";
 import { ServerConnections } from "./server_connections.ts";
 import { shortTag } from "./short_tag.ts";
@@ -27,6 +28,10 @@
   readonly takeConnection: (
     registration: ServerRegistration,
   ) => Socket | undefined;
+  /** What the run of a server has said of itself. */
+  readonly restrictionsOf: (
+    registration: ServerRegistration,
+  ) => ServerRestrictions;
 };
 
 /**
@@ -106,7 +111,11 @@
       this.#remove(registration.id);
     }
     this.#servers.set(registration.id, {
-      load: new ServerLoad(registration, now),
+      load: new ServerLoad(
+        registration,
+        now,
+        this.#options.restrictionsOf(registration),
+      ),
       connections: new ServerConnections({
         ...this.#options,
         idleLimit: this.#idleLimitOf(registration.service),
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -8,6 +8,7 @@
  * missing. The current slowdown of the machine is known only from reports, and
  * a report loses its weight within a few hundred milliseconds.
  */
+import { ServerRestrictions } from "./server_restrictions.ts";
 import type { ServerRegistration } from "./routing_snapshot.ts";
 
 /** Load report that a backend server attaches to answers and health checks. */
@@ -60,6 +61,7 @@
 
 export class ServerLoad {
   registration: ServerRegistration;
+  readonly restrictions: ServerRestrictions;
   readonly #ownAttempts = new Set<object>();
   /** Attempts of this entry that were started since the last report. */
   #sentSinceReport = 0;
@@ -74,8 +76,13 @@
   #blockedUntilMilliseconds = -Infinity;
   #isReportedUnhealthy = false;
 
-  constructor(registration: ServerRegistration, now: number) {
+  constructor(
+    registration: ServerRegistration,
+    now: number,
+    restrictions: ServerRestrictions = new ServerRestrictions(),
+  ) {
     this.registration = registration;
+    this.restrictions = restrictions;
     this.#warmAtMilliseconds = now + registration.warmUpLeftMilliseconds;
   }
 
--- a/scripts/check_platform_names.mjs
+++ b/scripts/check_platform_names.mjs
@@ -40,6 +40,7 @@
   '"instance-id"',
   '"not-executed"',
   '"response-signature"',
+  '"server-limit"',
 ];
 
 const files = execFileSync("git", ["ls-files"], { encoding: "utf8" })
