Limits: the fleet sends a backend server no more than the limit it names

Callers and servers saw: a server in need that named a limit of 1.4 to 2.5 requests a second kept getting its usual 5 to 16.

Cause: no entry read what a server says of itself; the decision where to send a request knew the server's load, but no restriction that it states.

Change: kernel/server_restrictions.ts holds what a run of a server has said and decides, on a given clock, whether this entry may send it a request now; place() leaves out servers that may get none, and sending uses the permission up, for first attempts, retries, hedges and queued requests alike. Requests that no server may take soon are refused at once.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -17,6 +17,7 @@
   | "body-too-large"
   | "no-server"
   | "no-room"
+  | "held-back"
   | "servers-refused"
   | "quarantined"
   | "attempt-broken"
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -33,8 +33,8 @@
   | {
     event: "request-limit";
     server: string;
-    service: string;
     requestLimit: RequestLimit;
+    from: string;
   }
   | { event: "server-statement-refused"; server: string; detail: string }
   | { event: "entry-changed"; entry: string; change: string; state: string }
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -11,6 +11,7 @@
   DiscoveryListing,
 } from "@marigoldford/kernel/discovery_state";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
+import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 
 /** How up to date the sender's discovery state is. */
 export type DiscoveryFreshness = {
@@ -19,6 +20,15 @@
   readonly ageMilliseconds: number;
 };
 
+/** What a run of a backend server says of itself. */
+export type SharedStatement = {
+  readonly id: string;
+  readonly bornAtMilliseconds: number;
+  readonly requestLimit: RequestLimit;
+  /** Time since the server said so. */
+  readonly ageMilliseconds: number;
+};
+
 export type FleetDatagram =
   | {
     readonly kind: "members";
@@ -52,6 +62,13 @@
     /** Whether the receiver forwards it to the peers of its failure domain. */
     readonly isForDomain: boolean;
   }
+  | {
+    readonly kind: "statements";
+    readonly from: string;
+    readonly statements: readonly SharedStatement[];
+    /** Whether the receiver forwards it to the peers of its failure domain. */
+    readonly isForDomain: boolean;
+  }
   | {
     readonly kind: "crash";
     readonly from: string;
@@ -82,7 +99,14 @@
   readonly detail: string;
 };
 
-const DATAGRAM_KINDS = new Set(["members", "who", "news", "load", "crash"]);
+const DATAGRAM_KINDS = new Set([
+  "members",
+  "who",
+  "news",
+  "load",
+  "statements",
+  "crash",
+]);
 const FRAME_KINDS = new Set(["changes", "reading-request", "reading"]);
 
 export function encodeFleetMessage(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -168,12 +168,6 @@
     this.#readSeeds = dependencies.readSeeds;
     const clock = this.#clock;
     const { instance } = options;
-    this.#statements = new ServerStatements({
-      clock,
-      protocol: dependencies.protocol,
-      metrics: this.#metrics,
-      writeEvent: this.#writeEvent,
-    });
     this.#servers = new ServerTable({
       clock,
       ...TUNING.connections,
@@ -199,6 +193,18 @@
       onRefused: (peer, detail) => this.#logRefusedMessage(peer, detail),
     });
     this.#fleet = this.#makeFleet();
+    this.#statements = new ServerStatements({
+      self: this.#incarnation,
+      failureDomain: instance.failureDomain,
+      clock,
+      random: Math.random,
+      protocol: dependencies.protocol,
+      socket: this.#datagramSocket,
+      peers: () => this.#fleet.members.livePeers(),
+      members: () => this.#nonLeavingMembers(),
+      metrics: this.#metrics,
+      writeEvent: this.#writeEvent,
+    });
     this.#discovery = new DiscoverySynchronizer({
       source: dependencies.source,
       clock,
@@ -295,6 +301,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     this.#discovery.stop();
     this.#loadExchange.stop();
+    this.#statements.stop();
     this.#prober.stop();
     this.#fleet.stop();
     for (const server of this.#auxiliaryServers) server.close();
@@ -548,6 +555,9 @@
       case "load":
         this.#loadExchange.receive(datagram);
         return;
+      case "statements":
+        this.#statements.receive(datagram);
+        return;
       case "crash":
         this.#crashDetector.recordPeerCrash(datagram);
         return;
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -80,9 +80,11 @@
   }
 
   /**
-   * Probes the current slowdown of a server; undefined if it does not answer.
+   * Probes the current slowdown of a server; undefined if it does not answer,
+   * or limits its requests.
    */
   async probeSlowdown(server: ServerLoad): Promise<number | undefined> {
+    if (server.restrictions.requestLimit !== "none") return undefined;
     const result = await this.#options.prober.probeForRequest(server);
     return result === "answered" ? server.lastReport?.slowdown : undefined;
   }
@@ -116,7 +118,9 @@
     }
     const result = this.choose(service, { ...request, tried: excluded });
     // If none is left, servers that did not answer a probe are allowed again.
-    return result.kind === "none" ? this.choose(service, request) : result;
+    return result.kind === "none" || result.kind === "held-back"
+      ? this.choose(service, request)
+      : result;
   }
 
   #bestCandidate(
@@ -130,7 +134,12 @@
     return server.reportAgeMilliseconds(this.#options.clock());
   }
 
+  /**
+   * Whether a probe would bring nothing. Servers that limit their requests are
+   * not probed for each of them.
+   */
   #isFresh(server: ServerLoad): boolean {
+    if (server.restrictions.requestLimit !== "none") return true;
     return !needsLoadProbe({
       reportAgeMilliseconds: this.#reportAgeOf(server),
       mayReport: server.mayReport,
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -54,6 +54,8 @@
 const TICK_INTERVAL_MILLISECONDS = 100;
 /** Interval at which the servers to probe are assigned to entries again. */
 const REASSIGN_MILLISECONDS = 500;
+/** Servers that limit their requests are probed less often. */
+const LIMITED_REPORT_AGE_MILLISECONDS = 2_000;
 const HEALTHY_STATUS = 200;
 
 export class Prober {
@@ -138,9 +140,11 @@
     const { maximumReportAgeMilliseconds } = this.#options.settings;
     for (const server of this.#assigned) {
       if (this.#pending.has(server.registration.id)) continue;
-      if (server.reportAgeMilliseconds(now) < maximumReportAgeMilliseconds) {
-        continue;
-      }
+      const isLimited = server.restrictions.requestLimit !== "none";
+      const maximumAge = isLimited
+        ? LIMITED_REPORT_AGE_MILLISECONDS
+        : maximumReportAgeMilliseconds;
+      if (server.reportAgeMilliseconds(now) < maximumAge) continue;
       void this.probe(server);
     }
   }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -18,7 +18,10 @@
   type Placement,
   type PlacementRequest,
 } from "@marigoldford/kernel/placement";
-import type { QueuedRequest } from "@marigoldford/kernel/request_queue";
+import {
+  isPastMaximumWait,
+  type QueuedRequest,
+} from "@marigoldford/kernel/request_queue";
 import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
 import type { ServerOutcome } from "@marigoldford/kernel/server_load";
 import type { ServiceName } from "@marigoldford/kernel/types";
@@ -58,6 +61,28 @@
 /** A request that crashes backend servers should not be retried soon. */
 const QUARANTINE_RETRY_AFTER_SECONDS = 30;
 
+/** Added to `Retry-After` at random, so that callers do not return at once. */
+const RETRY_SPREAD_SECONDS = 0.3;
+const MILLISECONDS_IN_SECOND = 1_000;
+
+/**
+ * When a caller should retry. Where servers take no request of this entry for
+ * some time, others may take one sooner.
+ */
+function retryAfterSeconds(
+  cause: RefusalCause,
+  heldBackMilliseconds: number | undefined,
+): number {
+  if (cause === "no-room") return OVERLOAD_RETRY_AFTER_SECONDS;
+  if (heldBackMilliseconds === undefined) return RETRY_AFTER_SECONDS;
+  const seconds = Math.min(
+    heldBackMilliseconds / MILLISECONDS_IN_SECOND,
+    OVERLOAD_RETRY_AFTER_SECONDS,
+  );
+  const spread = Math.random() * RETRY_SPREAD_SECONDS;
+  return Number((Math.max(RETRY_AFTER_SECONDS, seconds) + spread).toFixed(3));
+}
+
 /** A hedge runs alongside another attempt, a retry follows a failed one. */
 type AttemptReason = "first" | "retry" | "hedge";
 
@@ -243,6 +268,22 @@
     }
     if (this.#runningAttempts.size > 0) return;
     if (result.kind === "none") return this.#fail("no-server");
+    if (result.kind === "held-back") {
+      this.#context.metrics.incrementCounter("requests_held_back");
+      return this.#onHeldBack(result.milliseconds, reason);
+    }
+    this.#enqueue(reason);
+  }
+
+  /**
+   * Queues the request if a server may get one within its maximum wait;
+   * otherwise refuses it at once.
+   */
+  #onHeldBack(milliseconds: number, reason: AttemptReason): void {
+    const allowedAt = this.#context.clock() + milliseconds;
+    if (isPastMaximumWait(this.#makeQueuedRequest(reason), allowedAt)) {
+      return this.#fail("held-back", milliseconds);
+    }
     this.#enqueue(reason);
   }
 
@@ -296,6 +337,10 @@
     const { id } = server.registration;
     const usableServer = this.#context.servers.find(id);
     if (usableServer === undefined) return this.#fail("no-server");
+    // Another request may have used up the permission during a probe.
+    if (!server.restrictions.trySpend(this.#context.clock())) {
+      return void this.#startAttempt(reason);
+    }
     this.#history.recordStart(id);
     if (reason === "first") {
       this.#waitedMilliseconds = this.#elapsedMilliseconds;
@@ -580,15 +625,13 @@
    * Ends without an answer and tells the caller whether the request may have
    * run.
    */
-  #fail(cause: RefusalCause): void {
+  #fail(cause: RefusalCause, heldBackMilliseconds?: number): void {
     switch (this.#history.outcome(this.#remainingMilliseconds <= 0)) {
       case "not-run":
         return this.#refuse({
           status: 503,
           cause,
-          retryAfterSeconds: cause === "no-room"
-            ? OVERLOAD_RETRY_AFTER_SECONDS
-            : RETRY_AFTER_SECONDS,
+          retryAfterSeconds: retryAfterSeconds(cause, heldBackMilliseconds),
         });
       case "unknown-timed-out":
         return this.#refuse({ status: 504, cause });
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -67,7 +67,13 @@
   const protocol = CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap();
   const metrics = new GatewayMetrics();
   const statements = new ServerStatements({
+    self: "entry-1",
+    failureDomain: "north",
     clock,
+    random: () => 0,
+    socket: { send: () => {} },
+    peers: () => [],
+    members: () => [],
     protocol,
     metrics,
     writeEvent: () => {},
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -68,12 +68,15 @@
 /**
  * - `full`: each candidate is at its concurrency limit or costs too much to
  *   reach.
+ * - `held-back`: what the servers have said of themselves forbids to send any of
+ *   them a request for some milliseconds, which may be infinitely many.
  * - `late`: a server has capacity, but none is expected to answer in time.
  * - `none`: every server was tried already, or there is none.
  */
 export type PlacementResult =
   | { readonly kind: "placed"; readonly placement: Placement }
   | { readonly kind: "full" }
+  | { readonly kind: "held-back"; readonly milliseconds: number }
   | { readonly kind: "late" }
   | { readonly kind: "none" };
 
@@ -205,7 +208,7 @@
 
 /**
  * Selects one of `servers` for a request. Blocked servers are used only if
- * there are no others.
+ * there are no others; servers that may get no request now are not used.
  */
 export function place(
   servers: readonly ServerLoad[],
@@ -217,9 +220,18 @@
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
   );
-  const unblocked = untried.filter((server) => !server.isBlocked(now));
-  const candidates = unblocked.length > 0 ? unblocked : untried;
-  if (candidates.length === 0) return { kind: "none" };
+  if (untried.length === 0) return { kind: "none" };
+  let heldBackMilliseconds = Infinity;
+  const allowed = untried.filter(({ restrictions }) => {
+    const milliseconds = restrictions.millisecondsUntilAllowed(now);
+    heldBackMilliseconds = Math.min(heldBackMilliseconds, milliseconds);
+    return milliseconds === 0;
+  });
+  if (allowed.length === 0) {
+    return { kind: "held-back", milliseconds: heldBackMilliseconds };
+  }
+  const unblocked = allowed.filter((server) => !server.isBlocked(now));
+  const candidates = unblocked.length > 0 ? unblocked : allowed;
   let best: ServerLoad | undefined;
   let bestExpected = Infinity;
   let bestScore = Infinity;
--- a/packages/kernel/src/server_restrictions.ts
+++ b/packages/kernel/src/server_restrictions.ts
@@ -1,5 +1,9 @@
 /**
- * What one run of a backend server has said of itself in its answers.
+ * What one run of a backend server has said of itself in its answers, and
+ * whether an entry may send it a request now.
+ *
+ * A limit counts for all entries together. Each entry sends at the rate of its
+ * share of the limit; the share depends on the fleet and is given by a function.
  */
 
 /**
@@ -14,17 +18,47 @@
   readonly requestLimit: RequestLimit | "unreadable";
 };
 
+/** Requests a second that this entry may send of a server's limit. */
+export type OwnShare = (requestsPerSecond: number) => number;
+
+/** A server that takes nothing is still asked at this rate, in requests/s. */
+const MINIMUM_LIMIT = 0.1;
+/** A share may be saved up for this long, but at least for one request. */
+const SAVED_MILLISECONDS = 250;
+/** A limit is out of date this long after it was said last. */
+const LIMIT_LIFETIME_MILLISECONDS = 10_000;
+/** Small limits are said seldom: they last for this many requests more. */
+const LIMIT_LIFETIME_REQUESTS = 4;
+/** Changes of a limit by a smaller share are not worth telling. */
+const NOTABLE_CHANGE = 0.2;
+const MILLISECONDS_IN_SECOND = 1_000;
+
 export class ServerRestrictions {
+  readonly #ownShare: OwnShare;
+  /** Uniformly distributed in [0, 1): entries do not try again at once. */
+  readonly #spread: number;
   #requestLimit: RequestLimit = "none";
   #limitSaidAtMilliseconds = -Infinity;
+  #tokens = 0;
+  #tokensAtMilliseconds = -Infinity;
+
+  constructor(ownShare: OwnShare = (limit) => limit, spread = 0) {
+    this.#ownShare = ownShare;
+    this.#spread = spread;
+  }
 
   get requestLimit(): RequestLimit {
     return this.#requestLimit;
   }
 
+  /** When the server said last what limit it has, or that it has none. */
+  get limitSaidAtMilliseconds(): number {
+    return this.#limitSaidAtMilliseconds;
+  }
+
   /**
-   * Records a statement made at a time; returns whether it changes what is
-   * known. Older statements than the last one are ignored.
+   * Records a statement made at a time; returns whether the limit changes
+   * notably. Older statements than the last one are ignored.
    */
   recordStatement(
     { requestLimit }: ServerStatement,
@@ -33,8 +67,63 @@
     if (requestLimit === "unreadable") return false;
     if (atMilliseconds < this.#limitSaidAtMilliseconds) return false;
     this.#limitSaidAtMilliseconds = atMilliseconds;
-    if (requestLimit === this.#requestLimit) return false;
+    const previous = this.#requestLimit;
+    if (previous === "none" && requestLimit !== "none") {
+      this.#tokens = 0;
+      this.#tokensAtMilliseconds = atMilliseconds;
+    }
     this.#requestLimit = requestLimit;
+    return isNotableChange(previous, requestLimit);
+  }
+
+  /**
+   * Milliseconds until this entry may send the server a request: 0 if it may
+   * now, `Infinity` if it holds no share of the limit.
+   */
+  millisecondsUntilAllowed(now: number): number {
+    if (this.#requestLimit === "none") return 0;
+    const rate = this.#refill(this.#requestLimit, now);
+    if (this.#tokens >= 1) return 0;
+    return (1 - this.#tokens) * MILLISECONDS_IN_SECOND / rate;
+  }
+
+  /** Uses up the permission for one request; returns false if there is none. */
+  trySpend(now: number): boolean {
+    if (this.millisecondsUntilAllowed(now) > 0) return false;
+    if (this.#requestLimit !== "none") this.#tokens -= 1;
     return true;
   }
+
+  /** Adds the requests that became possible; returns how many a second do. */
+  #refill(requestLimit: number, now: number): number {
+    const limit = Math.max(MINIMUM_LIMIT, requestLimit);
+    let rate = this.#ownShare(limit);
+    const lifetime = this.#lifetimeMilliseconds(limit);
+    // Nothing was heard of the limit for long: one request asks again.
+    if (now - this.#limitSaidAtMilliseconds > lifetime) {
+      rate = Math.max(rate, MILLISECONDS_IN_SECOND / lifetime);
+    }
+    const elapsed = Math.max(0, now - this.#tokensAtMilliseconds);
+    this.#tokensAtMilliseconds = now;
+    const capacity = Math.max(
+      1,
+      rate * SAVED_MILLISECONDS / MILLISECONDS_IN_SECOND,
+    );
+    this.#tokens = Math.min(
+      capacity,
+      this.#tokens + elapsed * rate / MILLISECONDS_IN_SECOND,
+    );
+    return rate;
+  }
+
+  #lifetimeMilliseconds(limit: number): number {
+    const lifetime = LIMIT_LIFETIME_MILLISECONDS +
+      LIMIT_LIFETIME_REQUESTS * MILLISECONDS_IN_SECOND / limit;
+    return lifetime * (1 + this.#spread);
+  }
+}
+
+function isNotableChange(previous: RequestLimit, next: RequestLimit): boolean {
+  if (previous === "none" || next === "none") return previous !== next;
+  return Math.abs(next - previous) > NOTABLE_CHANGE * previous;
 }
