Gateway: a refusal without a request id proves nothing on a used connection

Callers could be told 'not run, try again' for a request that its server ran: a server that wrote an earlier refusal once more on a kept connection, without the id of its request, had it taken for the refusal of the next one, which then also ran at a second server.

Cause: Not-Executed and 421 counted as proof whether or not the answer named the request. An answer is now proof if it names the request, or if it is the first on its connection, where nothing can be repeated.

Evidence: operator_faults_test.ts, 'a refusal that is sent once more on a kept connection': the three cases without an id failed before (a request ran twice), the three with one passed; all six pass now.

--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -21,6 +21,7 @@
 import type { RequestBody } from "./request_body.ts";
 import {
   detectReset,
+  hasEarlierAnswer,
   hasSocketFailed,
   type ServerConnections,
 } from "./server_connections.ts";
@@ -322,12 +323,15 @@
     if (id !== undefined && id !== this.#options.requestId) {
       return { kind: "unusable-answer", why: "answer to another request" };
     }
-    if (isRefusal || (status === 421 && id !== undefined)) {
-      this.#options.hooks.onAnswerHead(this, answer);
-      this.#options.hooks.onStatement(this, answer);
+    // Without an id it may repeat the refusal of an earlier request.
+    const belongsToRequest = id !== undefined || this.#isFirstAnswer();
+    if (belongsToRequest && (isRefusal || status === 421)) {
+      if (isRefusal || id !== undefined) {
+        this.#options.hooks.onAnswerHead(this, answer);
+        this.#options.hooks.onStatement(this, answer);
+      }
       return { kind: "refused-by-server", status };
     }
-    if (status === 421) return { kind: "refused-by-server", status };
     if (id === undefined) {
       return { kind: "unusable-answer", why: "no request id" };
     }
@@ -340,6 +344,11 @@
     return undefined;
   }
 
+  /** Whether no earlier answer can be repeated on the connection. */
+  #isFirstAnswer(): boolean {
+    return this.#socket !== undefined && !hasEarlierAnswer(this.#socket);
+  }
+
   #buffer(answer: IncomingMessage): void {
     const chunks: Buffer[] = [];
     let bufferedBytes = 0;
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -32,6 +32,8 @@
 const IDLE_BEFORE_REQUEST = new WeakMap<Socket, number>();
 
 const FAILED_SOCKETS = new WeakSet<Socket>();
+/** Connections on which the server has already answered something. */
+const USED_SOCKETS = new WeakSet<Socket>();
 
 /** Servers ignore an empty line before a request (RFC 9112, section 2.2). */
 const EMPTY_LINE = "\r\n";
@@ -52,6 +54,14 @@
   });
 }
 
+/**
+ * Whether the server has answered an earlier request or probe on a connection.
+ * Only then can it repeat an answer there.
+ */
+export function hasEarlierAnswer(socket: Socket): boolean {
+  return USED_SOCKETS.has(socket);
+}
+
 /** Whether a connection is known to have failed. */
 export function hasSocketFailed(socket: Socket): boolean {
   return FAILED_SOCKETS.has(socket);
@@ -77,8 +87,9 @@
   override createConnection(
     ...parameters: Parameters<Agent["createConnection"]>
   ): Socket {
-    const socket = this.#options.takeConnection() ??
-      super.createConnection(...parameters) as Socket;
+    const taken = this.#options.takeConnection();
+    if (taken !== undefined) USED_SOCKETS.add(taken);
+    const socket = taken ?? super.createConnection(...parameters) as Socket;
     // Records whether the connection ends by an error, such as a reset.
     socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
     return socket;
@@ -124,6 +135,7 @@
 
   /** Called by Node when a request has ended and its socket may be reused. */
   override keepSocketAlive(socket: Socket): boolean {
+    USED_SOCKETS.add(socket);
     if (this.#isDraining || socket.destroyed) return false;
     // Node returns false if the server closes at once; its types omit that.
     if (super.keepSocketAlive(socket) as unknown === false) return false;
