Entry: close the connection on which a backend server refused a call

Callers could be told 'not-run' for a call that ran: a backend server that wrote an earlier refusal once more on a kept connection had it taken for the refusal of the next call, as refusals of the entry's protocol do not name their call.

Change: a connection that carried a refusal carries nothing more.

Evidence: refusals_test.ts, 'a refusal that a backend server sends once more', failed before (outcome not-run, 1 run) and passes now; all 27 cases of the file pass.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -13,7 +13,6 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
-import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
 import type {
   AttemptEnd,
   BackendServerState,
@@ -196,7 +195,9 @@
   }
 
   #refuse(response: IncomingMessage, cause: NotRunCause): void {
-    discardAnswer(response);
+    // Refusals do not name their call: one that is sent again on this
+    // connection would be taken for the refusal of the next call.
+    response.destroy();
     this.#finish(END_OF_REFUSAL[cause]);
     this.#settleHead(err({ kind: "refused", cause }));
   }
--- a/packages/proof/src/refusals_test.ts
+++ b/packages/proof/src/refusals_test.ts
@@ -2,7 +2,7 @@
  * Guards against refusals with a wrong reason or outcome, above all a
  * `not-run` for a call that a backend server has run.
  */
-import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { afterAll, afterEach, beforeAll, describe, expect, test } from "vitest";
 import {
   REFUSAL_RULES,
   type RefusalReason,
@@ -325,6 +325,32 @@
   },
 };
 
+describe("a refusal that a backend server sends once more", () => {
+  let fleet: Fleet;
+  afterEach(() => fleet.stop());
+
+  test("refuses no call that runs on the same connection", async () => {
+    fleet = await deploy({
+      entries: 1,
+      backends: 1,
+      behaviour: { repeatsRefusals: true },
+    });
+    const [entry] = fleet.entries;
+    const [{ address }] = fleet.backends;
+    for (let count = 0; count < 5; count++) {
+      await fleet.setBehaviour(address, { queueLength: 0 });
+      const refusedKey = await mintKeyOwnedBy(entry);
+      const refused = await sendProtectedCall(entry, { key: refusedKey });
+      expect(refused.outcome).toBe("not-run");
+      await fleet.setBehaviour(address, { queueLength: 100 });
+      const key = await mintKeyOwnedBy(entry);
+      const answer = await sendProtectedCall(entry, { key });
+      expect(await fleet.countRuns(key)).toBe(1);
+      expect(answer.outcome).toBe("answered");
+    }
+  });
+});
+
 describe("a refusal reports its reason and outcome correctly", () => {
   let fleet: Fleet;
   const closedRelay = new Relay();
--- a/packages/stand_ins/src/backend_behaviour.ts
+++ b/packages/stand_ins/src/backend_behaviour.ts
@@ -33,6 +33,8 @@
   losesAnswers: boolean;
   /** Sends the head and half of the body, then closes the connection. */
   cutsAnswers: boolean;
+  /** Sends a refusal once more when the next call on its connection runs. */
+  repeatsRefusals: boolean;
   /** For this long after the start, service times grow by `coldFactor`. */
   coldMilliseconds: number;
   coldFactor: number;
@@ -62,6 +64,7 @@
   isSilent: false,
   losesAnswers: false,
   cutsAnswers: false,
+  repeatsRefusals: false,
   coldMilliseconds: 0,
   coldFactor: 1,
   noisePeriodMilliseconds: 0,
--- a/packages/stand_ins/src/backend_stand_in.ts
+++ b/packages/stand_ins/src/backend_stand_in.ts
@@ -25,10 +25,14 @@
 
 type QueuedCall = { readonly start: () => void; isCancelled: boolean };
 
+const REPEATED_REFUSAL = "HTTP/1.1 503 Service Unavailable\r\n" +
+  "Backend-Not-Run: shedding\r\nContent-Length: 0\r\n\r\n";
+
 class BackendServer {
   readonly #behaviour: BackendBehaviour;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #refusedOn = new WeakSet<Socket>();
   readonly #runsByCall = new Map<string, LedgerRow>();
   readonly #queue: QueuedCall[] = [];
   readonly #loadHistory: { at: number; inFlight: number }[] = [];
@@ -152,6 +156,9 @@
     }
     this.#runningCalls += 1;
     this.#recordRun(request);
+    if (this.#refusedOn.delete(request.socket)) {
+      request.socket.write(REPEATED_REFUSAL);
+    }
     setTimeout(() => {
       this.#runningCalls -= 1;
       this.#answer(request, call.response);
@@ -226,6 +233,9 @@
 
   #refuse(response: ServerResponse, cause: string): void {
     this.#refusals += 1;
+    if (this.#behaviour.repeatsRefusals && response.socket !== null) {
+      this.#refusedOn.add(response.socket);
+    }
     response.statusCode = 503;
     response.setHeader("Backend-Not-Run", cause);
     this.#setReportHeaders(response);
