Gateway: a leaving entry accepts only requests that end before it exits

Callers saw: in a planned stop, in calm, requests that came late in the grace period were taken and sent on, and cut without an answer at its end, among them requests that may run once only.

Cause: a leaving entry accepted every request until 1.8 s before the end of the grace period, however long the request could take.

Others get 503 with Retry-After 0, so that callers use another entry at once.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -66,13 +66,14 @@
   if (route === undefined) return err({ status: 404, cause: "no-route" });
   const id = headerValue(request, protocol.headers.requestId) ?? "";
   if (id === "") return err({ status: 400, cause: "no-request-id", route });
-  if (!context.isAccepting()) {
+  const timeLimitMilliseconds = timeLimitOf(context, request, route);
+  const { objectiveMilliseconds } = route;
+  if (!context.isAccepting({ timeLimitMilliseconds, objectiveMilliseconds })) {
     return err({ status: 503, cause: "leaving", retryAfterSeconds: 0, route });
   }
   if (Number(request.headers["content-length"]) > maximumBodyBytes) {
     return err({ status: 413, cause: "body-too-large", route });
   }
-  const timeLimitMilliseconds = timeLimitOf(context, request, route);
   return ok({
     route,
     service: router.nextService(route),
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -1,6 +1,7 @@
 /**
  * Parts and state of the entry that a request exchange uses.
  */
+import type { LeavingAdmissionInputs } from "@marigoldford/kernel/leaving_admission";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Clock } from "@marigoldford/kernel/types";
@@ -27,10 +28,13 @@
   readonly crashDetector: CrashDetector;
   /** Whether routes and backend servers are known. */
   readonly isReady: () => boolean;
-  /**
-   * Whether requests are accepted; false shortly before a leaving entry exits.
-   */
-  readonly isAccepting: () => boolean;
+  /** Whether a request is accepted; a leaving entry refuses some. */
+  readonly isAccepting: (
+    request: Pick<
+      LeavingAdmissionInputs,
+      "timeLimitMilliseconds" | "objectiveMilliseconds"
+    >,
+  ) => boolean;
   /** Whether caller connections stay open after an answer. */
   readonly mayKeepConnections: () => boolean;
   readonly onInFlightChange: () => void;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import { entriesForCaller } from "@marigoldford/kernel/entries_for_caller";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
+import { isAcceptedWhileLeaving } from "@marigoldford/kernel/leaving_admission";
 import { MissingRevision } from "@marigoldford/kernel/missing_revision";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
@@ -65,11 +66,6 @@
 const MILLISECONDS_IN_SECOND = 1_000;
 /** Entries of another failure domain that get changes without a relay. */
 const MAXIMUM_DIRECT_RECEIVERS = 8;
-/**
- * Requests that arrive in this last part of the grace period are rejected
- * before they run, so that callers retry them at another entry.
- */
-const REJECT_BEFORE_END_MILLISECONDS = 1_800;
 /** Time from the exit of the process to the end of the grace period. */
 const EXIT_MARGIN_MILLISECONDS = 500;
 /**
@@ -320,13 +316,11 @@
       inProgress: this.#callServer.inProgress,
     });
     this.#fleet.enterState("leaving");
-    const endAt = this.#leaveRequestedAt + this.#graceMilliseconds -
-      EXIT_MARGIN_MILLISECONDS;
-    while (this.#clock() < endAt && !this.#hasNoCallers()) {
+    while (this.#clock() < this.#exitAt && !this.#hasNoCallers()) {
       await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
     }
     this.#callServer.stopListening();
-    while (this.#clock() < endAt && this.#callServer.inProgress > 0) {
+    while (this.#clock() < this.#exitAt && this.#callServer.inProgress > 0) {
       await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
     }
     this.#fleet.enterState("stopped");
@@ -338,8 +332,11 @@
     await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
   }
 
-  get #graceMilliseconds(): number {
-    return this.#options.bounds.graceSeconds * MILLISECONDS_IN_SECOND;
+  /** When a leaving entry exits at the latest. */
+  get #exitAt(): number {
+    const { graceSeconds } = this.#options.bounds;
+    return this.#leaveRequestedAt + graceSeconds * MILLISECONDS_IN_SECOND -
+      EXIT_MARGIN_MILLISECONDS;
   }
 
   get #millisecondsSinceLeaveRequest(): number {
@@ -421,9 +418,13 @@
       writeEvent: this.#writeEvent,
       services: this.#services,
       isReady: () => this.#fleet.state !== "starting",
-      isAccepting: () =>
-        !(this.#millisecondsSinceLeaveRequest >
-          this.#graceMilliseconds - REJECT_BEFORE_END_MILLISECONDS),
+      isAccepting: (request) =>
+        !Number.isFinite(this.#leaveRequestedAt) ||
+        isAcceptedWhileLeaving({
+          ...request,
+          leavingMilliseconds: this.#millisecondsSinceLeaveRequest,
+          untilExitMilliseconds: this.#exitAt - this.#clock(),
+        }),
       mayKeepConnections: () => !Number.isFinite(this.#leaveRequestedAt),
       crashDetector: this.#crashDetector,
       onInFlightChange: () => this.#loadExchange.scheduleInFlightUpdate(),
--- a/packages/proof/src/whole_answers_test.ts
+++ b/packages/proof/src/whole_answers_test.ts
@@ -55,6 +55,17 @@
     await expect(truncated).rejects.toThrow();
   });
 
+  test("an answer that breaks off in its head is not told as a success", async () => {
+    fleet = await deploy({
+      entries: 1,
+      backends: 1,
+      behaviour: { cutsHeads: true },
+    });
+    const answer = await sendIdempotentCall(fleet.entries[0], "/desk/1");
+    expect(answer.status).toBeGreaterThanOrEqual(500);
+    expect(answer.outcome).toBe("unknown");
+  });
+
   test("a body larger than any buffer is streamed in bounded memory", async () => {
     fleet = await deploy({ entries: 1, backends: 1 });
     const [entry] = fleet.entries;
--- a/packages/stand_ins/src/backend_behaviour.ts
+++ b/packages/stand_ins/src/backend_behaviour.ts
@@ -33,6 +33,8 @@
   losesAnswers: boolean;
   /** Sends the head and half of the body, then closes the connection. */
   cutsAnswers: boolean;
+  /** Closes the connection in the middle of the head of each answer. */
+  cutsHeads: boolean;
   /** Sends a refusal once more when the next call on its connection runs. */
   repeatsRefusals: boolean;
   /** For this long after the start, service times grow by `coldFactor`. */
@@ -64,6 +66,7 @@
   isSilent: false,
   losesAnswers: false,
   cutsAnswers: false,
+  cutsHeads: false,
   repeatsRefusals: false,
   coldMilliseconds: 0,
   coldFactor: 1,
--- a/packages/stand_ins/src/backend_stand_in.ts
+++ b/packages/stand_ins/src/backend_stand_in.ts
@@ -200,7 +200,11 @@
   }
 
   #answer(request: IncomingMessage, response: ServerResponse): void {
-    const { losesAnswers, cutsAnswers } = this.#behaviour;
+    const { losesAnswers, cutsAnswers, cutsHeads } = this.#behaviour;
+    if (cutsHeads) {
+      request.socket.end("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nCo");
+      return;
+    }
     if (losesAnswers) {
       request.socket.destroy();
       return;
