Entry: a leaving daemon refuses idempotent calls that may outlast it

Callers saw: calls that came late in the grace period with a deadline beyond the time to drain were accepted and cut without an answer.

Evidence: crashes_and_shutdown_test.ts, 'a graceful shutdown cuts no call that arrives late in the grace period', failed before (socket hang up) and passes now with the other four cases of the file. Protected calls are not changed.

--- a/packages/entry/src/call_server.ts
+++ b/packages/entry/src/call_server.ts
@@ -52,8 +52,8 @@
   readonly protectedCalls: ProtectedCalls;
   readonly metrics: EntryMetrics;
   readonly state: () => EntryState;
-  /** Whether new idempotent calls are still accepted. */
-  readonly isAccepting: () => boolean;
+  /** Whether a new idempotent call is accepted, by the time it may take. */
+  readonly isAccepting: (timeLimitMilliseconds: number) => boolean;
   readonly isQuarantined: (call: BufferedCall) => boolean;
   /** A new key to suggest to a caller, issued for this entry or for a peer. */
   readonly suggestKey: () => string | undefined;
@@ -214,8 +214,8 @@
     call: BufferedCall,
     pool: ServicePool | undefined,
   ): Refusal | undefined {
-    const { intentions, isAccepting, isQuarantined } = this.#options;
-    if (!isAccepting()) {
+    const { clock, intentions, isAccepting, isQuarantined } = this.#options;
+    if (!isAccepting(call.deadlineAtMilliseconds - clock())) {
       const detail = "This entry is leaving; ask another for entries";
       return { reason: "entry-leaving", detail };
     }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -15,6 +15,7 @@
 import type { ChoosingPolicyPlugIn } from "@marigoldford/kernel/choosing_policy";
 import { EntryDirectory } from "@marigoldford/kernel/entry_directory";
 import { mintKey } from "@marigoldford/kernel/idempotency_key";
+import { isAcceptedWhileLeaving } from "@marigoldford/kernel/leaving_admission";
 import {
   LeavingServers,
   type LeavingSource,
@@ -129,6 +130,7 @@
   readonly #timers: ReturnType<typeof setInterval>[] = [];
   #state: EntryState = "starting";
   #isAccepting = true;
+  #leavingSinceMilliseconds = Infinity;
   #isStopped = false;
   #resync: Promise<void> | undefined;
   #recordVersion = 0;
@@ -353,7 +355,8 @@
       protectedCalls: this.#protectedCalls,
       metrics: this.#metrics,
       state: () => this.#state,
-      isAccepting: () => this.#isAccepting,
+      isAccepting: (timeLimitMilliseconds) =>
+        this.#isAccepting && this.#endsBeforeExit(timeLimitMilliseconds),
       isQuarantined,
       suggestKey: () => this.#suggestKey(),
       pages: this.#makePages(),
@@ -520,6 +523,20 @@
     return mintKey(peer.keyPrefix, randomUUID());
   }
 
+  /** Whether a call ends before a leaving entry stops waiting for calls. */
+  #endsBeforeExit(timeLimitMilliseconds: number): boolean {
+    if (this.#state !== "leaving") return true;
+    const { graceMilliseconds, drainMilliseconds } = this.#options.shutdown;
+    const leavingMilliseconds = this.#clock() - this.#leavingSinceMilliseconds;
+    return isAcceptedWhileLeaving({
+      leavingMilliseconds,
+      untilExitMilliseconds: graceMilliseconds + drainMilliseconds -
+        leavingMilliseconds,
+      timeLimitMilliseconds,
+      objectiveMilliseconds: timeLimitMilliseconds,
+    });
+  }
+
   #leave(): Promise<void> {
     this.#leavePromise ??= this.#leaveOnce();
     return this.#leavePromise;
@@ -535,6 +552,7 @@
     const { shutdown } = this.#options;
     LOG.write("leaving", () => ({ incarnation: this.#incarnation }));
     this.#state = "leaving";
+    this.#leavingSinceMilliseconds = this.#clock();
     this.#mesh.sendHeartbeats();
     await sleep(shutdown.graceMilliseconds);
     this.#isAccepting = false;
--- a/packages/proof/src/crashes_and_shutdown_test.ts
+++ b/packages/proof/src/crashes_and_shutdown_test.ts
@@ -112,6 +112,27 @@
     expect(remaining).toHaveLength(2);
   });
 
+  test("a graceful shutdown cuts no call that arrives late in the grace period", async () => {
+    fleet = await deploy({
+      entries: 2,
+      backends: 2,
+      settings: {
+        calls: { answerValidMilliseconds: 400 },
+        shutdown: { graceMilliseconds: 1_500, drainMilliseconds: 500 },
+      },
+    });
+    const [leaver] = fleet.entries;
+    leaver.child.signal("SIGTERM");
+    await sleep(1_000);
+    const path = "/desk/late?milliseconds=2000";
+    const answer = await sendIdempotentCall(leaver, path, {
+      "Marigoldford-Deadline-Milliseconds": "8000",
+    });
+    expect(answer.outcome).toBe("not-run");
+    expect(answer.reason).toBe("entry-leaving");
+    expect(await leaver.child.exited).toBe(0);
+  });
+
   test("at most 1.1 attempts per call while whole failure domains fail", async () => {
     fleet = await deploy({
       entries: 2,
