Discovery: a listing sent to peers removes the servers that it lacks

Callers could be sent to backend servers that had left: an entry that listed the discovery service, at its start or after the history was gone, sent its peers the listing as changes. Changes do not name what is missing, so a peer that was a little behind took over the revision and kept the removed servers.

Change: the update says that it is a listing, and peers apply it as one.

Evidence: discovery_synchronizer_test.ts, 'drops the servers that are missing from a peer's listing', failed before (one, two in place of two) and passes now with the other 21 tests of the state and its synchronizer.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -34,6 +34,11 @@
   readonly baseRevision: number;
   readonly revision: number;
   readonly changes: readonly DiscoveryChange[];
+  /**
+   * Whether the changes are everything that exists at the revision: what is
+   * missing from them is gone.
+   */
+  readonly isListing?: boolean;
 };
 
 export type DiscoverySettings = {
@@ -114,13 +119,20 @@
 
   /** Applies a complete listing from a peer unless it is older. */
   applyPeerListing(listing: DiscoveryListing, ageMilliseconds: number): void {
-    if (listing.revision <= this.state.revision) return;
+    if (listing.revision < this.state.revision) return;
+    if (listing.revision === this.state.revision) {
+      return this.#confirm(ageMilliseconds);
+    }
     this.#applyUpdate(() => this.state.applyListing(listing, this.#now()));
     this.#confirm(ageMilliseconds);
   }
 
   /** Applies changes from a peer; false if earlier changes are missing. */
   applyPeerUpdate(update: DiscoveryUpdate, ageMilliseconds: number): boolean {
+    if (update.isListing) {
+      this.applyPeerListing(update, ageMilliseconds);
+      return true;
+    }
     if (update.baseRevision > this.state.revision) return false;
     this.#applyUpdate(() =>
       this.state.apply(update.changes, update.revision, this.#now())
@@ -254,7 +266,7 @@
     this.#applyUpdate(() =>
       this.state.applyListing(listing.value, this.#now())
     );
-    this.#onSuccess({ baseRevision, ...listing.value });
+    this.#onSuccess({ baseRevision, ...listing.value, isListing: true });
     return undefined;
   }
 
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -240,6 +240,23 @@
   const members = rankMembers("discovery-watcher", ["a", "b", "c", "d"])
     .reverse();
 
+  it("drops the servers that are missing from a peer's listing", async () => {
+    const { synchronizer } = setUp();
+    synchronizer.applyPeerListing({
+      revision: 2,
+      changes: [registration("one", 1), registration("two", 2)],
+    }, 0);
+    const peer = setUp(["peer"]);
+    peer.service.changes = [registration("two", 2)];
+    peer.service.revision = 3;
+    peer.synchronizer.start();
+    await advance(START_MILLISECONDS);
+    peer.synchronizer.stop();
+    for (const update of peer.updates) synchronizer.applyPeerUpdate(update, 0);
+    expect(synchronizer.state.revision).toBe(3);
+    expect([...synchronizer.state.records.keys()]).toEqual(["two"]);
+  });
+
   it("does not call the service while its state is fresh", async () => {
     const { service, synchronizer } = setUp(members);
     synchronizer.start();
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -83,6 +83,8 @@
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
     readonly ageMilliseconds: number;
+    /** Whether the changes are everything that exists at the revision. */
+    readonly isListing?: boolean;
     /** Whether the receiver forwards it to the peers of its failure domain. */
     readonly isForDomain?: boolean;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,10 @@
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
-import { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
+import {
+  DiscoverySynchronizer,
+  type DiscoveryUpdate,
+} from "./discovery_synchronizer.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
 import { makeEventWriter, type WriteEvent } from "./events.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
@@ -488,13 +491,7 @@
     });
   }
 
-  #sendUpdateToPeers(
-    update: {
-      baseRevision: number;
-      revision: number;
-      changes: readonly DiscoveryChange[];
-    },
-  ): void {
+  #sendUpdateToPeers(update: DiscoveryUpdate): void {
     const peers = this.#fleet.members.livePeers();
     if (update.changes.length === 0) {
       this.#datagramSocket.send(
