Gateway: a misdirected answer says nothing of the server it was meant for

A server that answers 421 in place of another, whose address it took over, had its load and its limit recorded as those of the other server.

Evidence: server_limits_test.ts, 'a server that answers in place of another limits only itself', failed before (limited_servers 1) and passes now, 36 of 36 runs with four at a time.

--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -326,7 +326,8 @@
     // Without an id it may repeat the refusal of an earlier request.
     const belongsToRequest = id !== undefined || this.#isFirstAnswer();
     if (belongsToRequest && (isRefusal || status === 421)) {
-      if (isRefusal || id !== undefined) {
+      // A misdirected request was answered by another server.
+      if (status !== 421) {
         this.#options.hooks.onAnswerHead(this, answer);
         this.#options.hooks.onStatement(this, answer);
       }
