Limits: refusals end no limit; log a limit only where there is one

A refusal that does not repeat the limit would have lifted it. Statements of peers about unknown servers are bounded without losing own ones. Placement inputs carry requestLimit only for limited servers.

--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -269,7 +269,7 @@
     if (this.#runningAttempts.size > 0) return;
     if (result.kind === "none") return this.#fail("no-server");
     if (result.kind === "held-back") {
-      this.#context.metrics.incrementCounter("requests_held_back");
+      this.#context.metrics.incrementCounter("placements_held_back");
       return this.#onHeldBack(result.milliseconds, reason);
     }
     this.#enqueue(reason);
@@ -358,8 +358,8 @@
       clock: this.#context.clock,
       hooks: {
         onAnswerHead: (attempt, answer) => this.#onAnswerHead(attempt, answer),
-        onStatement: ({ server }, { headers }) =>
-          this.#context.statements.recordAnswer(server, headers),
+        onStatement: ({ server }, { headers }, kind) =>
+          this.#context.statements.recordAnswer(server, headers, kind),
         onBufferedAnswer: (attempt, answer) =>
           this.#onBufferedAnswer(attempt, answer),
         onStreamedAnswer: (attempt, answer) =>
@@ -368,7 +368,7 @@
       },
     });
     server.recordStart(attempt);
-    if (attempt.placementInputs.requestLimit !== "none") {
+    if (attempt.placementInputs.requestLimit !== undefined) {
       this.#context.metrics.incrementCounter("requests_to_limited_servers");
     }
     this.#context.onInFlightChange();
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -14,7 +14,6 @@
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
 import type { Placement } from "@marigoldford/kernel/placement";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
-import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
 import { limitBytesBeforeAnswer } from "@marigoldford/http_answers/head_limit";
 import { type CallerProtocol, headerValue } from "./caller_protocol.ts";
@@ -70,6 +69,7 @@
   readonly onStatement: (
     attempt: ServerAttempt,
     answer: IncomingMessage,
+    kind: "answer" | "refusal",
   ) => void;
   readonly onBufferedAnswer: (
     attempt: ServerAttempt,
@@ -95,7 +95,8 @@
   readonly reportAgeMilliseconds?: number;
   readonly failureDomain: string;
   readonly isCold: boolean;
-  readonly requestLimit: RequestLimit;
+  /** Requests a second that the server takes from the fleet, if limited. */
+  readonly requestLimit?: number;
 };
 
 function placementInputsOf(
@@ -103,7 +104,7 @@
   now: number,
 ): PlacementInputs {
   const { server, expectedMilliseconds } = options.placement;
-  const { lastReport } = server;
+  const { lastReport, restrictions: { requestLimit } } = server;
   return {
     expectedMilliseconds: Math.round(expectedMilliseconds),
     load: server.load(now),
@@ -113,7 +114,7 @@
       : Math.round(now - lastReport.atMilliseconds),
     failureDomain: server.registration.failureDomain,
     isCold: server.isCold(now),
-    requestLimit: server.restrictions.requestLimit,
+    requestLimit: requestLimit === "none" ? undefined : requestLimit,
   };
 }
 
@@ -329,7 +330,7 @@
       // A misdirected request was answered by another server.
       if (status !== 421) {
         this.#options.hooks.onAnswerHead(this, answer);
-        this.#options.hooks.onStatement(this, answer);
+        this.#options.hooks.onStatement(this, answer, "refusal");
       }
       return { kind: "refused-by-server", status };
     }
@@ -364,7 +365,7 @@
       this.#phase = "streaming";
       answer.pause();
       answer.removeAllListeners("data");
-      this.#options.hooks.onStatement(this, answer);
+      this.#options.hooks.onStatement(this, answer, "answer");
       this.#options.hooks.onStreamedAnswer(this, {
         kind: "stream",
         head: answer,
@@ -383,7 +384,7 @@
     if (this.#phase !== "buffering") return;
     if (!isComplete) return this.#onConnectionError();
     this.#end();
-    this.#options.hooks.onStatement(this, answer);
+    this.#options.hooks.onStatement(this, answer, "answer");
     this.#options.hooks.onBufferedAnswer(this, {
       kind: "buffered",
       head: answer,
--- a/packages/gateway/src/server_statements.ts
+++ b/packages/gateway/src/server_statements.ts
@@ -45,7 +45,7 @@
 
 /** A run of a server that says nothing for this long is forgotten. */
 const RETENTION_MILLISECONDS = 60_000;
-/** Also bounds the memory for what peers say of servers that are not known. */
+/** Statements of peers about further runs are ignored. */
 const MAXIMUM_RUNS = 5_000;
 /** Changes within this time are told together. */
 const BATCH_MILLISECONDS = 20;
@@ -105,8 +105,15 @@
     return this.#find(run).restrictions;
   }
 
-  /** Records what the headers of a server's answer say of it. */
-  recordAnswer({ registration }: ServerLoad, headers: AnswerHeaders): void {
+  /**
+   * Records what the headers of a server's answer say of it. A refusal, which
+   * may come from a stage before the server's own, ends no limit.
+   */
+  recordAnswer(
+    { registration }: ServerLoad,
+    headers: AnswerHeaders,
+    kind: "answer" | "refusal",
+  ): void {
     const { protocol, clock, metrics, writeEvent } = this.#options;
     const { statement, malformed } = protocol.readStatement(headers);
     for (const detail of malformed) {
@@ -117,6 +124,7 @@
         detail,
       });
     }
+    if (kind === "refusal" && statement.requestLimit === "none") return;
     const now = clock();
     const known = this.#find(registration);
     if (known.restrictions.recordStatement(statement, now)) {
@@ -130,6 +138,9 @@
     const { clock, socket, peers, failureDomain } = this.#options;
     const now = clock();
     for (const shared of validStatements(datagram.statements)) {
+      if (this.#runs.size >= MAXIMUM_RUNS && !this.#runs.has(keyOf(shared))) {
+        continue;
+      }
       const known = this.#find(shared);
       known.sharedAtMilliseconds = now;
       const isChange = known.restrictions.recordStatement(
@@ -168,7 +179,7 @@
         this.#options.random(),
       );
       known = new KnownRun(run, restrictions, now);
-      if (this.#runs.size < MAXIMUM_RUNS) this.#runs.set(key, known);
+      this.#runs.set(key, known);
     }
     known.usedAtMilliseconds = now;
     return known;
