Entry: a leaving daemon refuses new protected calls that may outlast it

Callers saw: a protected call that came late in the grace period with a deadline beyond the time to drain ran, and its connection was closed without an answer.

Evidence: crashes_and_shutdown_test.ts, 'a graceful shutdown cuts no call that arrives late in the grace period', now with a protected call, failed before (socket hang up) and passes now; with at_most_once_test.ts, refusals_test.ts and schedule_test.ts 45 of 45.

--- a/packages/entry/src/call_server.ts
+++ b/packages/entry/src/call_server.ts
@@ -70,6 +70,7 @@
   "key-missing",
   "key-closed",
   "table-full",
+  "entry-leaving",
 ]);
 
 export class CallServer {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -330,6 +330,7 @@
         handOverOf: (leaver) => this.#handOvers.find(leaver),
       },
       isQuarantined: (call) => this.#isQuarantined(call),
+      endsBeforeExit: (milliseconds) => this.#endsBeforeExit(milliseconds),
       forward: (forwarded) => this.#forwarder.forward(forwarded, this.#mesh),
     });
   }
--- a/packages/entry/src/protected_calls.ts
+++ b/packages/entry/src/protected_calls.ts
@@ -54,6 +54,8 @@
   readonly runner: ProtectedRunner;
   readonly routingInputs: KeyRoutingInputs;
   readonly isQuarantined: (call: BufferedCall) => boolean;
+  /** Whether a call that may take this long ends before the entry exits. */
+  readonly endsBeforeExit: (timeLimitMilliseconds: number) => boolean;
   /** Forwards a call to the entry that owns its key or holds its record. */
   readonly forward: (
     forwarded: ForwardedCall,
@@ -183,6 +185,12 @@
       const detail = "The request broke the connections of backend servers";
       return notRun({ reason: "quarantined", detail });
     }
+    const { clock, endsBeforeExit } = this.#options;
+    if (!endsBeforeExit(call.deadlineAtMilliseconds - clock())) {
+      const detail = "This entry is leaving before the deadline of the call; " +
+        "send it with a new key to another entry";
+      return notRun({ reason: "entry-leaving", detail });
+    }
     return await this.#options.runner.run(call, { pool, caller });
   }
 
--- a/packages/proof/src/crashes_and_shutdown_test.ts
+++ b/packages/proof/src/crashes_and_shutdown_test.ts
@@ -122,14 +122,21 @@
       },
     });
     const [leaver] = fleet.entries;
+    const key = await mintKeyOwnedBy(leaver);
     leaver.child.signal("SIGTERM");
     await sleep(1_000);
     const path = "/desk/late?milliseconds=2000";
-    const answer = await sendIdempotentCall(leaver, path, {
-      "Marigoldford-Deadline-Milliseconds": "8000",
-    });
-    expect(answer.outcome).toBe("not-run");
-    expect(answer.reason).toBe("entry-leaving");
+    const answers = await Promise.all([
+      sendIdempotentCall(leaver, path, {
+        "Marigoldford-Deadline-Milliseconds": "8000",
+      }),
+      sendProtectedCall(leaver, { key, path, deadlineMilliseconds: 8_000 }),
+    ]);
+    for (const answer of answers) {
+      expect(answer.outcome).toBe("not-run");
+      expect(answer.reason).toBe("entry-leaving");
+    }
+    expect(await fleet.countRuns(key)).toBe(0);
     expect(await leaver.child.exited).toBe(0);
   });
 
