--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -15,6 +15,8 @@
   }
   | { event: "stop-requested"; inProgress: number }
   | { event: "stop"; inProgress: number; reason: string }
+  /** Written right before the connections are closed. */
+  | { event: "exit"; requestsCut: number }
   | { event: "reload"; outcome: string }
   | {
     event: "configuration-adopted";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -297,6 +297,10 @@
   }
 
   stop(): void {
+    this.#writeEvent({
+      event: "exit",
+      requestsCut: this.#callServer.inProgress,
+    });
     for (const timer of this.#timers) clearInterval(timer);
     this.#discovery.stop();
     this.#loadExchange.stop();
