Gateway: a second stop signal no longer ends a leaving process

Callers saw the connection of a request that a server was running end without an answer, when an entry was asked to stop again while it was leaving.

Cause: the handlers of SIGTERM and SIGINT were removed by the first signal, so the system's default action took the second one.

Evidence: 'answers what it has accepted' failed before for SIGTERM followed by SIGTERM and by SIGINT (no answer, and the process ended by the signal); it passed for SIGHUP. All three pass now.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -34,7 +34,10 @@
   return parseGatewayOptions(value);
 }
 
-/** Runs until SIGTERM or SIGINT; resolves to the exit code. */
+/**
+ * Runs until SIGTERM or SIGINT, of which the first one counts; resolves to the
+ * exit code.
+ */
 export async function runGateway(settingsPath: string): Promise<number> {
   const settings = readSettings(settingsPath);
   if (settings.isErr()) {
@@ -42,8 +45,9 @@
     return EXIT_CODE_INVALID_SETTINGS;
   }
   const stopSignal = new Promise<void>((resolve) => {
-    process.once("SIGTERM", resolve);
-    process.once("SIGINT", resolve);
+    // Without a handler, a second signal would end the process at once.
+    process.on("SIGTERM", resolve);
+    process.on("SIGINT", resolve);
   });
   const program = Effect.gen(function* () {
     const gateway = yield* startGateway(
