Gateway: read no request after the last check before the exit

Callers saw a connection end without an answer, while a server was running their request, in the last 25 ms of an entry that was asked to stop.

Cause: when no request was in progress, the entry stopped listening and exited 25 ms later. Closing the idle connections leaves those open that were accepted and have not carried a request yet. A request that arrived on one of them was accepted, sent to a server, and cut by the exit.

Evidence: 'a process that may exit runs no request of connections left open' failed before (5 of 5 requests ran after leave() had resolved) and passes now.

The entry now waits once more for what is on its way, and closes all connections in the same turn in which it sees no request in progress, so what arrives later is not read. 'stop' says how many requests were left without an answer, which 'exit' said before.

--- a/packages/gateway/src/call_server.ts
+++ b/packages/gateway/src/call_server.ts
@@ -2,6 +2,7 @@
  * The HTTP server for callers, which can stop without interrupting requests.
  */
 import { createServer, type Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { RequestLimits } from "@marigoldford/kernel/routing_snapshot";
 import type { Address, Clock } from "@marigoldford/kernel/types";
 import type { ExchangeContext } from "./exchange_context.ts";
@@ -19,6 +20,7 @@
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 1_000;
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 1_000;
 const DEFAULT_KEEP_ALIVE_MILLISECONDS = 60_000;
+const DRAIN_CHECK_INTERVAL_MILLISECONDS = 25;
 const LISTEN_BACKLOG = 1_024;
 
 export class CallServer {
@@ -68,10 +70,21 @@
       KEEP_ALIVE_MARGIN_MILLISECONDS;
   }
 
-  /** Stops listening and closes connections that carry no request. */
-  stopListening(): void {
+  /**
+   * Stops listening, answers the requests that have been read, and closes all
+   * connections, so that no other is read. Returns how many were left without
+   * an answer at the given time.
+   */
+  async drain(untilMilliseconds: number): Promise<number> {
     this.#server.close();
     this.#server.closeIdleConnections();
+    // Requests may be on their way on connections that were just accepted.
+    do {
+      await sleep(DRAIN_CHECK_INTERVAL_MILLISECONDS);
+    } while (this.#inProgress > 0 && this.#clock() < untilMilliseconds);
+    const requestsCut = this.#inProgress;
+    this.#server.closeAllConnections();
+    return requestsCut;
   }
 
   closeAll(): void {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -14,9 +14,8 @@
     afterMilliseconds: number;
   }
   | { event: "stop-requested"; inProgress: number }
-  | { event: "stop"; inProgress: number; reason: string }
-  /** Written right before the connections are closed. */
-  | { event: "exit"; requestsCut: number }
+  /** Written when all connections of callers are closed. */
+  | { event: "stop"; requestsCut: number; reason: string }
   | { event: "reload"; outcome: string }
   | {
     event: "configuration-adopted";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -297,10 +297,6 @@
   }
 
   stop(): void {
-    this.#writeEvent({
-      event: "exit",
-      requestsCut: this.#callServer.inProgress,
-    });
     for (const timer of this.#timers) clearInterval(timer);
     this.#discovery.stop();
     this.#loadExchange.stop();
@@ -326,14 +322,11 @@
     while (this.#clock() < this.#exitAt && !this.#hasNoCallers()) {
       await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
     }
-    this.#callServer.stopListening();
-    while (this.#clock() < this.#exitAt && this.#callServer.inProgress > 0) {
-      await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
-    }
+    const requestsCut = await this.#callServer.drain(this.#exitAt);
     this.#fleet.enterState("stopped");
     this.#writeEvent({
       event: "stop",
-      inProgress: this.#callServer.inProgress,
+      requestsCut,
       reason: "asked to stop",
     });
     await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
