Gateway: an uncaught exception no longer cuts the other requests

Callers of all requests that an entry was handling got no answer when an exception in the handling of one message ended its process.

Cause: nothing contained an exception; Node ends the process at once.

The entry now leaves as after SIGTERM: it is no longer ready, answers what it has and exits with code 1, so that it is started again in a sound state.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -13,6 +13,7 @@
   parseGatewayOptions,
 } from "./options.ts";
 
+const EXIT_CODE_FAULT = 1;
 const EXIT_CODE_INVALID_SETTINGS = 2;
 
 export type SettingsUnreadable = {
@@ -35,8 +36,8 @@
 }
 
 /**
- * Runs until SIGTERM or SIGINT, of which the first one counts; resolves to the
- * exit code.
+ * Runs until SIGTERM, SIGINT or an uncaught exception, of which the first one
+ * counts; resolves to the exit code.
  */
 export async function runGateway(settingsPath: string): Promise<number> {
   const settings = readSettings(settingsPath);
@@ -44,10 +45,10 @@
     process.stderr.write(`${settings.error.kind}: ${settings.error.detail}\n`);
     return EXIT_CODE_INVALID_SETTINGS;
   }
-  const stopSignal = new Promise<void>((resolve) => {
+  const stopSignal = new Promise<number>((resolve) => {
     // Without a handler, a second signal would end the process at once.
-    process.on("SIGTERM", resolve);
-    process.on("SIGINT", resolve);
+    process.on("SIGTERM", () => resolve(0));
+    process.on("SIGINT", () => resolve(0));
   });
   const program = Effect.gen(function* () {
     const gateway = yield* startGateway(
@@ -58,9 +59,18 @@
       const reloaded = readSettings(settingsPath);
       gateway.logReload(reloaded.isOk() ? "seeds read" : reloaded.error.detail);
     });
-    yield* Effect.promise(() => stopSignal);
+    const fault = new Promise<number>((resolve) => {
+      // The entry may be damaged, but the requests that it has still get answers.
+      process.on("uncaughtException", (error) => {
+        gateway.logFault(error);
+        resolve(EXIT_CODE_FAULT);
+      });
+    });
+    const exitCode = yield* Effect.promise(() =>
+      Promise.race([stopSignal, fault])
+    );
     yield* Effect.promise(() => gateway.leave());
-    return 0;
+    return exitCode;
   });
   return await Effect.runPromise(Effect.scoped(program));
 }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -17,6 +17,7 @@
   /** Written when all connections of callers are closed. */
   | { event: "stop"; requestsCut: number; reason: string }
   | { event: "reload"; outcome: string }
+  | { event: "uncaught-exception"; detail: string }
   | {
     event: "configuration-adopted";
     version: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,7 @@
   /** Shuts down gracefully; resolves when the process may exit. */
   readonly leave: () => Promise<void>;
   readonly logReload: (outcome: string) => void;
+  readonly logFault: (error: Error) => void;
 };
 
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
@@ -121,6 +122,11 @@
     return {
       leave: () => gateway.leave(),
       logReload: (outcome: string) => writeEvent({ event: "reload", outcome }),
+      logFault: (error: Error) =>
+        writeEvent({
+          event: "uncaught-exception",
+          detail: error.stack ?? String(error),
+        }),
     };
   });
 }
