Gateway: refuse a path that cannot be forwarded

One request whose path holds a tab or a form feed ended the process: Node's parser accepts both, its client throws, and the exception was uncaught. Before all requests of the entry lost their answers; since then the entry left.

Such a request is now answered 400. 'is refused and ends no process' failed before (503, then the process ended) and passes now.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -12,6 +12,7 @@
   | "starting"
   | "leaving"
   | "no-route"
+  | "path-malformed"
   | "no-request-id"
   | "head-too-large"
   | "body-too-large"
@@ -44,6 +45,8 @@
 };
 
 const STARTING_RETRY_AFTER_SECONDS = 0.5;
+/** Characters that Node's parser accepts in a path, but its client rejects. */
+const MALFORMED_PATH = /[^\u0021-\u00ff]/;
 
 export function admit(
   context: ExchangeContext,
@@ -61,6 +64,9 @@
   if (headBytes(request) > maximumHeaderBytes) {
     return err({ status: 431, cause: "head-too-large" });
   }
+  if (MALFORMED_PATH.test(request.url ?? "/")) {
+    return err({ status: 400, cause: "path-malformed" });
+  }
   const { host = "" } = request.headers;
   const route = router.match(host, request.url ?? "/");
   if (route === undefined) return err({ status: 404, cause: "no-route" });
