--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,7 @@
   /** Shuts down gracefully; resolves when the process may exit. */
   readonly leave: () => Promise<void>;
   readonly logReload: (outcome: string) => void;
+  readonly logFault: (error: Error) => void;
 };
 
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
@@ -121,6 +122,11 @@
     return {
       leave: () => gateway.leave(),
       logReload: (outcome: string) => writeEvent({ event: "reload", outcome }),
+      logFault: (error: Error) =>
+        writeEvent({
+          event: "uncaught-exception",
+          detail: error.stack ?? String(error),
+        }),
     };
   });
 }
@@ -297,10 +303,6 @@
   }
 
   stop(): void {
-    this.#writeEvent({
-      event: "exit",
-      requestsCut: this.#callServer.inProgress,
-    });
     for (const timer of this.#timers) clearInterval(timer);
     this.#discovery.stop();
     this.#loadExchange.stop();
@@ -326,14 +328,11 @@
     while (this.#clock() < this.#exitAt && !this.#hasNoCallers()) {
       await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
     }
-    this.#callServer.stopListening();
-    while (this.#clock() < this.#exitAt && this.#callServer.inProgress > 0) {
-      await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
-    }
+    const requestsCut = await this.#callServer.drain(this.#exitAt);
     this.#fleet.enterState("stopped");
     this.#writeEvent({
       event: "stop",
-      inProgress: this.#callServer.inProgress,
+      requestsCut,
       reason: "asked to stop",
     });
     await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
