Gateway: count the results of placements; log the load a refusing server reports

From the log lines of a full service it could be read what an entry had assumed of a server, but not what that server says when it refuses, nor how often a placement finds the service full or late, nor how many requests are sent after their maximum wait. No logic is changed.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -64,6 +64,8 @@
     server: string;
     evidence: string;
     detail?: string;
+    /** Requests at the server as it says in its refusal. */
+    reportedLoad?: number;
     elapsedMilliseconds: number;
   })
   | {
--- a/packages/gateway/src/exchange_log.ts
+++ b/packages/gateway/src/exchange_log.ts
@@ -4,6 +4,7 @@
  */
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
 import type { SnapshotRoute } from "@marigoldford/kernel/routing_snapshot";
+import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { ServiceName } from "@marigoldford/kernel/types";
 import type { Refusal } from "./admission.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
@@ -49,6 +50,9 @@
       server: attempt.server.registration.id,
       evidence: evidence.kind,
       detail: detailOf(evidence),
+      reportedLoad: evidence.kind === "refused-by-server"
+        ? reportedLoadOf(attempt.server)
+        : undefined,
       elapsedMilliseconds: Math.round(attempt.elapsedMilliseconds),
       ...attempt.placementInputs,
     });
@@ -126,6 +130,12 @@
   }
 }
 
+/** Load in the last report of a server, which a refusal has just brought. */
+function reportedLoadOf({ lastReport }: ServerLoad): number | undefined {
+  if (lastReport === undefined) return undefined;
+  return lastReport.running + lastReport.waiting;
+}
+
 function detailOf(evidence: AttemptEvidence): string | undefined {
   if (evidence.kind === "unusable-answer") return evidence.why;
   if (evidence.kind === "refused-by-server") return String(evidence.status);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,6 +2,7 @@
  * Counters and latency histograms of an entry, and their text format for
  * scrapers.
  */
+import type { PlacementResult } from "@marigoldford/kernel/placement";
 import { build, type Histogram } from "hdr-histogram-js";
 
 type Outcome =
@@ -50,6 +51,10 @@
     this.#attemptFailures.set(evidence, previous + 1);
   }
 
+  recordPlacement(result: PlacementResult["kind"]): void {
+    this.incrementCounter(`placements_${result.replace("-", "_")}`);
+  }
+
   incrementCounter(name: string, amount = 1): void {
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
   }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -262,6 +262,7 @@
       () => this.#remainingMilliseconds,
     );
     this.#isPlacing = false;
+    this.#context.metrics.recordPlacement(result.kind);
     if (this.#hasEnded || this.#writer.hasSentHead) return;
     if (result.kind === "placed") {
       return this.#sendAttempt(result.placement, reason);
@@ -269,7 +270,6 @@
     if (this.#runningAttempts.size > 0) return;
     if (result.kind === "none") return this.#fail("no-server");
     if (result.kind === "held-back") {
-      this.#context.metrics.incrementCounter("placements_held_back");
       return this.#onHeldBack(result.milliseconds, reason);
     }
     this.#enqueue(reason);
@@ -298,8 +298,9 @@
       ...this.#placementRequest(reason),
       maximumExpectedMilliseconds: isAlone ? this.#remainingMilliseconds : 0,
     });
-    if (result.kind === "placed") this.#sendAttempt(result.placement, reason);
-    else this.#fail("no-room");
+    if (result.kind !== "placed") return this.#fail("no-room");
+    this.#context.metrics.incrementCounter("requests_sent_late");
+    this.#sendAttempt(result.placement, reason);
   }
 
   /**
