Test: a large fleet does not recover from a burst

Simulates 64 entries with five requests a second each, 49 servers with six slots, a knee, slow phases and a queue of 12, callers that come back and retries. A burst x 1.7 lasts 3 s; from 5 s after it the share in time should be within 5 in 100 of that before.

--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -9,6 +9,7 @@
  */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { FleetRetryBudget } from "../fleet_budget.ts";
 import { needsLoadProbe } from "../load_probe.ts";
 import {
   place,
@@ -18,6 +19,7 @@
   type StaleEstimate,
 } from "../placement.ts";
 import { RateBudget } from "../rate_budget.ts";
+import { RouteEstimates } from "../route_estimates.ts";
 import { ServerLoad } from "../server_load.ts";
 import { makeRegistration } from "./registration.ts";
 import { type QueuedRequest, RequestQueue } from "../request_queue.ts";
@@ -45,6 +47,17 @@
   readonly areCountsExchanged?: boolean;
   /** Servers that are slower by a factor and do not report it. */
   readonly stragglers?: { readonly count: number; readonly factor: number };
+  /** Requests that a server queues; it refuses further ones. */
+  readonly serverQueueLength?: number;
+  /** Share of the requests that an entry may send to a second server. */
+  readonly retryShare?: number;
+  readonly callerRetries?: CallerRetries;
+};
+
+/** What callers do after a refusal. */
+export type CallerRetries = {
+  readonly maximum: number;
+  readonly delayMilliseconds: number;
 };
 
 export type PlacementPolicy = {
@@ -65,6 +78,8 @@
   readonly inTime: number;
   readonly late: number;
   readonly refused: number;
+  /** Share in time of the requests that arrived in each second. */
+  readonly inTimeBySecond: readonly number[];
 };
 
 const KNEE_OCCUPANCY = 0.8;
@@ -73,17 +88,36 @@
 const SAME_DOMAIN_INTERVAL_MILLISECONDS = 40;
 const CROSS_DOMAIN_INTERVAL_MILLISECONDS = 200;
 const FAILURE_DOMAINS = 4;
-const QUEUE_INTERVAL_MILLISECONDS = 8;
+/** Intervals at which entries dispatch their queues. */
+const MINIMUM_QUEUE_INTERVAL_MILLISECONDS = 8;
+const QUEUE_INTERVAL_SERVICE_TIMES = 0.05;
+const RETRY_WINDOW_MILLISECONDS = 10_000;
+const MILLISECONDS_IN_SECOND = 1_000;
 
 type Job = {
   remainingMilliseconds: number;
   /** Slowdown of the server when it started the request. */
   slowdownAtStart: number;
-  readonly arrivedAt: number;
+  readonly request: Request;
   readonly entry: SimulatedEntry;
   readonly attempt: object;
 };
 
+/** A caller's request over all its tries. */
+type Call = {
+  readonly firstArrivedAt: number;
+  readonly triesLeft: number;
+};
+
+type PlacedResult = Extract<PlacementResult, { kind: "placed" }>;
+
+type Request = {
+  readonly queuedRequest: QueuedRequest;
+  readonly call: Call;
+  /** Servers that have refused the request. */
+  readonly tried: Set<string>;
+};
+
 class SimulatedServer {
   readonly running: Job[] = [];
   readonly waiting: Job[] = [];
@@ -93,8 +127,17 @@
     readonly slots: number,
     readonly stragglerFactor: number,
     readonly isSpeedKept: boolean,
+    readonly queueLength: number,
   ) {}
 
+  /** Takes a request unless the server is full. */
+  accept(job: Job): boolean {
+    const maximum = this.slots + this.queueLength;
+    if (this.running.length + this.waiting.length >= maximum) return false;
+    this.waiting.push(job);
+    return true;
+  }
+
   /** Processes requests for a millisecond; returns those that have ended. */
   process(): Job[] {
     while (this.running.length < this.slots && this.waiting.length > 0) {
@@ -125,15 +168,27 @@
   readonly queue = new RequestQueue();
   readonly loads: ServerLoad[];
   readonly #budget: RateBudget;
+  readonly #retryBudget: FleetRetryBudget;
+  readonly #estimates: RouteEstimates;
 
   constructor(
     readonly id: string,
     readonly service: SimulatedService,
   ) {
-    this.#budget = new RateBudget(
-      () => service.now,
-      () => service.load.maximumProbesPerSecond,
-    );
+    const { load } = service;
+    const clock = () => service.now;
+    this.#budget = new RateBudget(clock, () => load.maximumProbesPerSecond);
+    this.#retryBudget = new FleetRetryBudget({
+      clock,
+      share: load.retryShare ?? 0,
+      allowance: 0,
+      windowMilliseconds: RETRY_WINDOW_MILLISECONDS,
+      memberCount: () => load.entries,
+    });
+    this.#estimates = new RouteEstimates({
+      objectiveMilliseconds: load.objectiveMilliseconds,
+      isDownload: false,
+    });
     this.loads = service.servers.map((server, index) =>
       new ServerLoad(
         makeRegistration({
@@ -146,22 +201,29 @@
     );
   }
 
-  addRequest(): void {
+  addRequest(call: Call): void {
     const { now, load } = this.service;
-    const request: QueuedRequest = {
+    const deadlineAt = call.firstArrivedAt + load.deadlineMilliseconds;
+    this.#retryBudget.recordRequest();
+    const queuedRequest: QueuedRequest = {
       priority: 1,
       serviceTimeMilliseconds: load.serviceTimeMilliseconds,
       arrivedAtMilliseconds: now,
       objectiveAtMilliseconds: now + load.objectiveMilliseconds,
-      deadlineAtMilliseconds: now + load.deadlineMilliseconds,
-      isCallerRetry: false,
+      deadlineAtMilliseconds: deadlineAt,
+      isCallerRetry: this.#estimates.recordCallerTimeout(deadlineAt - now),
       onDequeued: (decision) => {
         if (decision === "try") this.#trySend(request);
         else this.#endWait(request);
       },
     };
-    if (this.queue.countAhead(request, now) > 0) {
-      this.queue.add(request);
+    const request: Request = {
+      queuedRequest,
+      call,
+      tried: new Set(),
+    };
+    if (this.queue.countAhead(queuedRequest, now) > 0) {
+      this.queue.add(queuedRequest);
     } else this.#trySend(request);
   }
 
@@ -171,47 +233,66 @@
     this.queue.takeNext(now)?.onDequeued("try");
   }
 
-  #trySend(request: QueuedRequest): void {
+  #trySend(request: Request): void {
     const { now, policy } = this.service;
-    const maximumMilliseconds = policy.maximumExpectedMilliseconds(
-      request.objectiveAtMilliseconds - now,
-    );
-    const result = this.#probeAndPlace(maximumMilliseconds);
+    const { queuedRequest, tried } = request;
+    const maximumMilliseconds = tried.size > 0
+      ? Infinity
+      : policy.maximumExpectedMilliseconds(
+        queuedRequest.objectiveAtMilliseconds - now,
+      );
+    const result = this.#probeAndPlace(tried, maximumMilliseconds);
     if (result.kind === "placed") this.#send(request, result);
-    else this.queue.add(request);
+    else this.queue.add(queuedRequest);
   }
 
-  #endWait(request: QueuedRequest): void {
-    const { now, policy, outcome } = this.service;
+  #endWait(request: Request): void {
+    const { now, policy } = this.service;
+    const { queuedRequest, tried, call } = request;
     const result = policy.mayPlaceLate(this.queue.length)
-      ? this.#place("mean", request.deadlineAtMilliseconds - now)
+      ? this.#place("mean", tried, queuedRequest.deadlineAtMilliseconds - now)
       : undefined;
     if (result?.kind === "placed") this.#send(request, result);
-    else outcome.refused += 1;
+    else this.service.refuse(call);
   }
 
   /** Probes the selected servers for their load, as the gateway does. */
-  #probeAndPlace(maximumMilliseconds: number): PlacementResult {
+  #probeAndPlace(
+    tried: ReadonlySet<string>,
+    maximumMilliseconds: number,
+  ): PlacementResult {
     const { now } = this.service;
+    const excluded = new Set(tried);
     for (let probesSent = 0;; probesSent++) {
-      const optimistic = this.#place("optimistic", maximumMilliseconds);
+      const optimistic = this.#place(
+        "optimistic",
+        excluded,
+        maximumMilliseconds,
+      );
       if (optimistic.kind !== "placed") break;
       const { server } = optimistic.placement;
-      const isProbeNeeded = needsLoadProbe({
-        reportAgeMilliseconds: server.reportAgeMilliseconds(now),
-        mayReport: server.mayReport,
-        probesSent,
-        remainingMilliseconds: Infinity,
-      });
-      if (!isProbeNeeded) return optimistic;
-      if (!this.#budget.trySpend()) break;
-      this.recordReport(Number(server.registration.id));
+      const isProbeNeeded = (probes: number) =>
+        needsLoadProbe({
+          reportAgeMilliseconds: server.reportAgeMilliseconds(now),
+          mayReport: server.mayReport,
+          probesSent: probes,
+          remainingMilliseconds: Infinity,
+        });
+      if (!isProbeNeeded(0)) return optimistic;
+      if (!isProbeNeeded(probesSent)) break;
+      const { id } = server.registration;
+      if (this.#budget.trySpend()) this.recordReport(Number(id));
+      else excluded.add(id);
     }
-    return this.#place("mean", maximumMilliseconds);
+    const result = this.#place("mean", excluded, maximumMilliseconds);
+    return result.kind === "none"
+      ? this.#place("mean", tried, maximumMilliseconds)
+      : result;
   }
 
   #place(
     staleEstimate: StaleEstimate,
+    tried: ReadonlySet<string>,
     maximumExpectedMilliseconds: number,
   ): PlacementResult {
     const { now, random, load } = this.service;
@@ -219,7 +300,7 @@
       serviceTimeMilliseconds: load.serviceTimeMilliseconds,
       objectiveMilliseconds: load.objectiveMilliseconds,
       answerBytes: 0,
-      tried: new Set(),
+      tried,
       maximumCrossDomainCostObjectives: Infinity,
       maximumExpectedMilliseconds,
     };
@@ -237,21 +318,31 @@
     return place(this.loads, request, context);
   }
 
-  #send(
-    request: QueuedRequest,
-    { placement }: Extract<PlacementResult, { kind: "placed" }>,
-  ): void {
+  #send(request: Request, { placement }: PlacedResult): void {
     const { load, random, servers } = this.service;
     const attempt = {};
     placement.server.recordStart(attempt);
     const spread = 0.5 + random();
-    servers[Number(placement.server.registration.id)].waiting.push({
+    const index = Number(placement.server.registration.id);
+    const job: Job = {
       remainingMilliseconds: load.serviceTimeMilliseconds * spread,
       slowdownAtStart: 1,
-      arrivedAt: request.arrivedAtMilliseconds,
+      request,
       entry: this,
       attempt,
-    });
+    };
+    if (!servers[index].accept(job)) this.#onServerRefusal(job, index);
+  }
+
+  /** Tries another server if the retry budget allows it. */
+  #onServerRefusal({ request, attempt }: Job, index: number): void {
+    this.recordReport(index);
+    this.loads[index].recordEnd(attempt, "refused", this.service.now);
+    if (request.tried.size > 0 || !this.#retryBudget.trySpend()) {
+      return this.service.refuse(request.call);
+    }
+    request.tried.add(String(index));
+    this.#trySend(request);
   }
 
   /** Records the load that a server reports. */
@@ -266,9 +357,9 @@
     }, now);
   }
 
-  end(job: Job, index: number): void {
+  end({ attempt }: Job, index: number): void {
     this.recordReport(index);
-    this.loads[index].recordEnd(job.attempt, "answered", this.service.now);
+    this.loads[index].recordEnd(attempt, "answered", this.service.now);
     this.serveQueue();
   }
 
@@ -280,12 +371,16 @@
   }
 }
 
+type Outcome = { total: number; inTime: number; late: number; refused: number };
+
 class SimulatedService {
   now = 0;
   readonly random: () => number;
   readonly servers: readonly SimulatedServer[];
   readonly entries: readonly SimulatedEntry[];
-  readonly outcome = { total: 0, inTime: 0, late: 0, refused: 0 };
+  /** Outcomes of the calls that arrived first in each second. */
+  readonly #outcomes: readonly Outcome[];
+  #returningCalls: { readonly at: number; readonly call: Call }[] = [];
 
   constructor(
     readonly load: SimulatedLoad,
@@ -302,25 +397,53 @@
           load.slots,
           index < count ? factor : 1,
           load.isSpeedKept ?? false,
+          load.serverQueueLength ?? Infinity,
         ),
     );
     this.entries = Array.from(
       { length: load.entries },
       (_, index) => new SimulatedEntry(`entry-${index}`, this),
     );
+    this.#outcomes = Array.from(
+      { length: load.seconds },
+      () => ({ total: 0, inTime: 0, late: 0, refused: 0 }),
+    );
   }
 
   run(): SimulationResult {
-    for (; this.now < this.load.seconds * 1_000; this.now++) this.#tick();
-    const { total, inTime, late, refused } = this.outcome;
+    const { seconds } = this.load;
+    for (; this.now < seconds * MILLISECONDS_IN_SECOND; this.now++) {
+      this.#tick();
+    }
+    const sum = (count: (outcome: Outcome) => number) =>
+      this.#outcomes.reduce((total, outcome) => total + count(outcome), 0);
+    const total = sum((outcome) => outcome.total);
     return {
       total,
-      inTime: inTime / total,
-      late: late / total,
-      refused: refused / total,
+      inTime: sum(({ inTime }) => inTime) / total,
+      late: sum(({ late }) => late) / total,
+      refused: sum(({ refused }) => refused) / total,
+      inTimeBySecond: this.#outcomes.map(({ inTime, total }) => inTime / total),
     };
   }
 
+  /** The caller returns if it has tries left. */
+  refuse({ firstArrivedAt, triesLeft }: Call): void {
+    if (triesLeft === 0) {
+      this.#outcomeOf(firstArrivedAt).refused += 1;
+      return;
+    }
+    const { delayMilliseconds = 0 } = this.load.callerRetries ?? {};
+    this.#returningCalls.push({
+      at: this.now + delayMilliseconds,
+      call: { firstArrivedAt, triesLeft: triesLeft - 1 },
+    });
+  }
+
+  #outcomeOf(firstArrivedAt: number): Outcome {
+    return this.#outcomes[Math.floor(firstArrivedAt / MILLISECONDS_IN_SECOND)];
+  }
+
   #tick(): void {
     const {
       meanPhaseMilliseconds,
@@ -336,23 +459,49 @@
       for (const job of server.process()) this.#end(job, index);
     }
     if (this.now % SAME_DOMAIN_INTERVAL_MILLISECONDS === 0) this.#gossip();
-    if (this.now % QUEUE_INTERVAL_MILLISECONDS === 0) {
+    if (this.now % this.#queueIntervalMilliseconds === 0) {
       for (const entry of this.entries) entry.serveQueue();
     }
-    let due = requestsPerSecond(this.now) / 1_000;
+    this.#readmitReturningCalls();
+    let due = requestsPerSecond(this.now) / MILLISECONDS_IN_SECOND;
     for (; this.random() < due; due -= 1) {
-      this.outcome.total += 1;
-      const index = Math.floor(this.random() * this.entries.length);
-      this.entries[index].addRequest();
+      this.#outcomeOf(this.now).total += 1;
+      this.#randomEntry().addRequest({
+        firstArrivedAt: this.now,
+        triesLeft: this.load.callerRetries?.maximum ?? 0,
+      });
     }
   }
 
+  get #queueIntervalMilliseconds(): number {
+    const { serviceTimeMilliseconds } = this.load;
+    return Math.max(
+      MINIMUM_QUEUE_INTERVAL_MILLISECONDS,
+      Math.round(QUEUE_INTERVAL_SERVICE_TIMES * serviceTimeMilliseconds),
+    );
+  }
+
+  #randomEntry(): SimulatedEntry {
+    return this.entries[Math.floor(this.random() * this.entries.length)];
+  }
+
+  #readmitReturningCalls(): void {
+    const due = this.#returningCalls.filter(({ at }) => at <= this.now);
+    if (due.length === 0) return;
+    this.#returningCalls = this.#returningCalls.filter(({ at }) =>
+      at > this.now
+    );
+    for (const { call } of due) this.#randomEntry().addRequest(call);
+  }
+
   #end(job: Job, index: number): void {
-    const elapsed = this.now - job.arrivedAt;
+    const { firstArrivedAt } = job.request.call;
+    const elapsed = this.now - firstArrivedAt;
+    const outcome = this.#outcomeOf(firstArrivedAt);
     const { objectiveMilliseconds, deadlineMilliseconds } = this.load;
-    if (elapsed <= objectiveMilliseconds) this.outcome.inTime += 1;
-    else if (elapsed <= deadlineMilliseconds) this.outcome.late += 1;
-    else this.outcome.refused += 1;
+    if (elapsed <= objectiveMilliseconds) outcome.inTime += 1;
+    else if (elapsed <= deadlineMilliseconds) outcome.late += 1;
+    else outcome.refused += 1;
     job.entry.end(job, index);
   }
 
