Placement: servers without a recent report are not taken for idle

Cause: with 128 entries no load messages are sent, and an entry assumed for a server that it had not heard from only what it had sent there itself, nearly always nothing. After its probes had found full servers a request went to any other one, however full.

Change: where the counts of other entries are incomplete, the load of such servers is at least the mean that the servers of their failure domain reported in the last fraction of a second. If that leaves no room, the request waits at the entry and probes again.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -250,6 +250,7 @@
       costs: TUNING.costs,
       servers: this.#servers,
       prober: this.#prober,
+      areCountsComplete: () => this.#loadExchange.areCountsComplete,
     });
     this.#services = new ServiceStates({
       clock,
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -75,6 +75,11 @@
     return this.#sameDomainInterval() !== undefined;
   }
 
+  /** Whether this entry gets the in-flight counts of all others. */
+  get areCountsComplete(): boolean {
+    return this.isActive && this.#crossDomainInterval() !== undefined;
+  }
+
   start(): void {
     this.#tickTimer = setInterval(
       () => this.#tick(),
@@ -159,6 +164,13 @@
     });
   }
 
+  #crossDomainInterval(): number | undefined {
+    return loadExchangeInterval({
+      senders: this.#options.peers().length,
+      ...this.#options.settings.crossDomain,
+    });
+  }
+
   #sendToSameDomain(): void {
     this.#sameDomainTimer = undefined;
     this.#sameDomainSentAt = this.#options.clock();
@@ -171,10 +183,7 @@
 
   #tick(): void {
     this.#repeatCounts();
-    const interval = loadExchangeInterval({
-      senders: this.#options.peers().length,
-      ...this.#options.settings.crossDomain,
-    });
+    const interval = this.#crossDomainInterval();
     if (interval === undefined) return this.#crossDomainReports.clear();
     const elapsed = this.#options.clock() - this.#crossDomainSentAt;
     if (elapsed >= interval - TIMER_TOLERANCE_MILLISECONDS) {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -10,6 +10,7 @@
   type PlacementResult,
   type StaleEstimate,
 } from "@marigoldford/kernel/placement";
+import { reportedOccupancy } from "@marigoldford/kernel/reported_occupancy";
 import type {
   Clock,
   FailureDomain,
@@ -31,6 +32,8 @@
   };
   readonly servers: ServerTable;
   readonly prober: Prober;
+  /** Whether the requests that other entries have in flight are known. */
+  readonly areCountsComplete: () => boolean;
 };
 
 type Selection = {
@@ -53,10 +56,12 @@
     request: PlacementRequest,
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
-    const { servers, clock, random, failureDomain } = this.#options;
+    const { clock, random, failureDomain, areCountsComplete } = this.#options;
     const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
-    return place(servers.ofService(service), request, {
-      now: clock(),
+    const servers = this.#options.servers.ofService(service);
+    const now = clock();
+    return place(servers, request, {
+      now,
       random,
       ownFailureDomain: failureDomain,
       crossDomainCost,
@@ -65,6 +70,9 @@
         objectivesPerConnection,
       },
       staleEstimate,
+      assumedOccupancy: areCountsComplete()
+        ? () => 0
+        : reportedOccupancy(servers, now),
     });
   }
 
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -127,6 +127,7 @@
       prober: prober as unknown as ConstructorParameters<
         typeof Placer
       >[0]["prober"],
+      areCountsComplete: () => true,
     }),
     metrics,
     writeEvent: () => {},
--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -19,6 +19,7 @@
   type StaleEstimate,
 } from "../placement.ts";
 import { RateBudget } from "../rate_budget.ts";
+import { reportedOccupancy } from "../reported_occupancy.ts";
 import { RouteEstimates } from "../route_estimates.ts";
 import { ServerLoad } from "../server_load.ts";
 import { makeRegistration } from "./registration.ts";
@@ -314,6 +315,9 @@
         objectivesPerConnection: 0,
       },
       staleEstimate,
+      assumedOccupancy: load.areCountsExchanged ?? true
+        ? () => 0
+        : reportedOccupancy(this.loads, now),
     };
     return place(this.loads, request, context);
   }
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -42,6 +42,10 @@
   readonly crossDomainCost: CrossDomainCost;
   readonly connectionCost: ConnectionCost;
   readonly staleEstimate: StaleEstimate;
+  /**
+   * Load assumed for servers without a recent report, as a share of their slots.
+   */
+  readonly assumedOccupancy: (failureDomain: FailureDomain) => number;
 };
 
 /** Cost of opening connections, which servers and entries pay for. */
@@ -139,14 +143,36 @@
   return isBeyondKnee(load + 1, slots) ? KNEE_SLOWDOWN : 1;
 }
 
+type ServerView = Pick<
+  PlacementContext,
+  "now" | "staleEstimate" | "assumedOccupancy"
+>;
+
+/**
+ * Requests at a server. Without a recent report only the requests of this
+ * entry are known, so at least the usual load of the service is assumed, except
+ * to select the servers to probe.
+ */
+function estimatedLoad(
+  server: ServerLoad,
+  { now, staleEstimate, assumedOccupancy }: ServerView,
+): number {
+  const load = server.load(now);
+  if (staleEstimate === "optimistic" || server.isReportCounted(now)) {
+    return load;
+  }
+  const { failureDomain } = server.registration;
+  return Math.max(load, assumedOccupancy(failureDomain) * server.slots);
+}
+
 /** Expected time to the complete answer from a server. */
 export function expectedCompletionMilliseconds(
   server: ServerLoad,
   serviceTimeMilliseconds: number,
-  view: { now: number; staleEstimate: StaleEstimate },
+  view: ServerView,
 ): number {
   const { now, staleEstimate } = view;
-  const load = server.load(now);
+  const load = estimatedLoad(server, view);
   let slowdown = server.slowdown(now, STALE_SLOWDOWN[staleEstimate]) *
     contentionSlowdown(load, server.slots);
   if (server.isCold(now)) slowdown *= COLD_SLOWDOWN;
@@ -162,9 +188,9 @@
 function addedDelay(
   server: ServerLoad,
   serviceTime: number,
-  now: number,
+  view: ServerView,
 ): number {
-  const load = server.load(now);
+  const load = estimatedLoad(server, view);
   const isKneePassed = isBeyondKnee(load + 1, server.slots) &&
     !isBeyondKnee(load, server.slots);
   return isKneePassed
@@ -192,7 +218,7 @@
   const { request, context } = inputs;
   const { objectiveMilliseconds: objective } = request;
   let total = expected +
-    addedDelay(server, request.serviceTimeMilliseconds, context.now);
+    addedDelay(server, request.serviceTimeMilliseconds, context);
   const transferObjectives = transferCost(server, inputs);
   if (transferObjectives > 0) {
     total += context.crossDomainCost.roundTripMilliseconds +
@@ -215,7 +241,7 @@
   request: PlacementRequest,
   context: PlacementContext,
 ): PlacementResult {
-  const { now, staleEstimate } = context;
+  const { now } = context;
   const inputs = { request, context };
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
@@ -237,16 +263,15 @@
   let bestScore = Infinity;
   let hasLateCapacity = false;
   for (const server of candidates) {
-    if (server.load(now) >= concurrencyLimit(server.slots)) continue;
+    if (estimatedLoad(server, context) >= concurrencyLimit(server.slots)) {
+      continue;
+    }
     const transferObjectives = transferCost(server, inputs);
     if (transferObjectives > request.maximumCrossDomainCostObjectives) continue;
     const expected = expectedCompletionMilliseconds(
       server,
       request.serviceTimeMilliseconds,
-      {
-        now,
-        staleEstimate,
-      },
+      context,
     );
     if (expected > request.maximumExpectedMilliseconds) {
       hasLateCapacity = true;
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -28,6 +28,7 @@
   crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
   connectionCost: { connectionsToOpen: () => 0, objectivesPerConnection: 0 },
   staleEstimate: "mean",
+  assumedOccupancy: () => 0,
 };
 
 type ServerOptions = {
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -109,6 +109,11 @@
     return now - this.#report.atMilliseconds;
   }
 
+  /** Whether the last report is recent enough to count requests. */
+  isReportCounted(now: number): boolean {
+    return this.reportAgeMilliseconds(now) <= COUNTED_REPORT_AGE_MILLISECONDS;
+  }
+
   isCold(now: number): boolean {
     return now < this.#warmAtMilliseconds;
   }
