Admission: recognize callers that come back by their own deadline

Callers who were refused come back with less time left, and their requests should not take the place of those that can still be in time. They were recognized by the shorter of their deadline and the route's timeout.

Now the deadline alone decides.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -78,24 +78,42 @@
     route,
     service: router.nextService(route),
     timeLimitMilliseconds,
-    isCallerRetry: context.services.estimatesOf(route).recordCallerTimeout(
-      timeLimitMilliseconds,
-    ),
+    isCallerRetry: isCallerRetry(context, request, route),
     maximumBodyBytes,
   });
 }
 
+/** The route's timeout says nothing about the time that a caller has left. */
+function isCallerRetry(
+  context: ExchangeContext,
+  request: IncomingMessage,
+  route: SnapshotRoute,
+): boolean {
+  const deadline = callerDeadlineOf(context, request);
+  return deadline !== undefined &&
+    context.services.estimatesOf(route).recordCallerTimeout(deadline);
+}
+
+/** Time that the caller waits; undefined if it does not say so. */
+function callerDeadlineOf(
+  { protocol }: ExchangeContext,
+  request: IncomingMessage,
+): number | undefined {
+  const text = headerValue(request, protocol.headers.deadline);
+  const deadline = Number(text ?? NaN);
+  return Number.isFinite(deadline) && deadline >= 0 ? deadline : undefined;
+}
+
 /** The shorter of the caller's deadline and the route's timeout. */
 function timeLimitOf(
-  { protocol }: ExchangeContext,
+  context: ExchangeContext,
   request: IncomingMessage,
   { timeoutMilliseconds }: SnapshotRoute,
 ): number {
-  const text = headerValue(request, protocol.headers.deadline);
-  const deadline = Number(text ?? NaN);
-  return Number.isFinite(deadline) && deadline >= 0
-    ? Math.min(deadline, timeoutMilliseconds)
-    : timeoutMilliseconds;
+  return Math.min(
+    callerDeadlineOf(context, request) ?? Infinity,
+    timeoutMilliseconds,
+  );
 }
 
 /** Size of the path and of all header names and values, without separators. */
