Placement: no blind send while the servers that were heard from are busy

With a budget of a few probes for each request, an entry of a large fleet knows the load of few servers at a time. After its probes had found them full or slow, it still chose among the others by a mean. Most of those are as full, and a third is in a slow phase.

Now a server without a recent report is a candidate only while the servers of its failure domain that were heard from are mostly idle (or report no load at all); else the request waits at the entry, and the next dispatch probes others ('unknown', counted as such). One rule for fleets of all sizes replaces the distinction by exchanged counts. A hedge is spent by what a probe may find, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -250,7 +250,6 @@
       costs: TUNING.costs,
       servers: this.#servers,
       prober: this.#prober,
-      areCountsComplete: () => this.#loadExchange.areCountsComplete,
     });
     this.#services = new ServiceStates({
       clock,
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -75,11 +75,6 @@
     return this.#sameDomainInterval() !== undefined;
   }
 
-  /** Whether this entry gets the in-flight counts of all others. */
-  get areCountsComplete(): boolean {
-    return this.isActive && this.#crossDomainInterval() !== undefined;
-  }
-
   start(): void {
     this.#tickTimer = setInterval(
       () => this.#tick(),
@@ -164,13 +159,6 @@
     });
   }
 
-  #crossDomainInterval(): number | undefined {
-    return loadExchangeInterval({
-      senders: this.#options.peers().length,
-      ...this.#options.settings.crossDomain,
-    });
-  }
-
   #sendToSameDomain(): void {
     this.#sameDomainTimer = undefined;
     this.#sameDomainSentAt = this.#options.clock();
@@ -183,7 +171,10 @@
 
   #tick(): void {
     this.#repeatCounts();
-    const interval = this.#crossDomainInterval();
+    const interval = loadExchangeInterval({
+      senders: this.#options.peers().length,
+      ...this.#options.settings.crossDomain,
+    });
     if (interval === undefined) return this.#crossDomainReports.clear();
     const elapsed = this.#options.clock() - this.#crossDomainSentAt;
     if (elapsed >= interval - TIMER_TOLERANCE_MILLISECONDS) {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -32,8 +32,6 @@
   };
   readonly servers: ServerTable;
   readonly prober: Prober;
-  /** Whether the requests that other entries have in flight are known. */
-  readonly areCountsComplete: () => boolean;
 };
 
 type Selection = {
@@ -56,7 +54,7 @@
     request: PlacementRequest,
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
-    const { clock, random, failureDomain, areCountsComplete } = this.#options;
+    const { clock, random, failureDomain } = this.#options;
     const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
     const servers = this.#options.servers.ofService(service);
     const now = clock();
@@ -70,9 +68,7 @@
         objectivesPerConnection,
       },
       staleEstimate,
-      assumedOccupancy: areCountsComplete()
-        ? () => 0
-        : reportedOccupancy(servers, now),
+      assumedOccupancy: reportedOccupancy(servers, now),
     });
   }
 
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -246,6 +246,7 @@
     const result = this.#context.placer.choose(
       this.#service,
       this.#placementRequest(reason),
+      "optimistic",
     );
     return result.kind === "placed";
   }
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -127,7 +127,6 @@
       prober: prober as unknown as ConstructorParameters<
         typeof Placer
       >[0]["prober"],
-      areCountsComplete: () => true,
     }),
     metrics,
     writeEvent: () => {},
--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -315,9 +315,7 @@
         objectivesPerConnection: 0,
       },
       staleEstimate,
-      assumedOccupancy: load.areCountsExchanged ?? true
-        ? () => 0
-        : reportedOccupancy(this.loads, now),
+      assumedOccupancy: reportedOccupancy(this.loads, now),
     };
     return place(this.loads, request, context);
   }
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -75,6 +75,8 @@
  * - `held-back`: what the servers have said of themselves forbids to send any of
  *   them a request for some milliseconds, which may be infinitely many.
  * - `late`: a server has capacity, but none is expected to answer in time.
+ * - `unknown`: no server is known to have capacity, and so many are busy that
+ *   those without a recent report are probably full as well.
  * - `none`: every server was tried already, or there is none.
  */
 export type PlacementResult =
@@ -82,6 +84,7 @@
   | { readonly kind: "full" }
   | { readonly kind: "held-back"; readonly milliseconds: number }
   | { readonly kind: "late" }
+  | { readonly kind: "unknown" }
   | { readonly kind: "none" };
 
 type ScoringInputs = {
@@ -97,6 +100,11 @@
 /** Servers slow down above this share of occupied slots. */
 const KNEE_OCCUPANCY = 0.8;
 const KNEE_SLOWDOWN = 1.7;
+/**
+ * Servers without a recent report are used while the servers of their failure
+ * domain have less than this share of their slots occupied.
+ */
+const MAXIMUM_ASSUMED_OCCUPANCY = 0.35;
 /** Requests that may queue at a server, as a share of its slots. */
 const QUEUED_SHARE = 0.25;
 /**
@@ -165,6 +173,17 @@
   return Math.max(load, assumedOccupancy(failureDomain) * server.slots);
 }
 
+/** Whether the server may be full without this entry knowing. */
+function isProbablyBusy(
+  server: ServerLoad,
+  { now, staleEstimate, assumedOccupancy }: ServerView,
+): boolean {
+  if (staleEstimate === "optimistic" || !server.mayReport) return false;
+  if (server.isReportCounted(now)) return false;
+  const { failureDomain } = server.registration;
+  return assumedOccupancy(failureDomain) > MAXIMUM_ASSUMED_OCCUPANCY;
+}
+
 /** Expected time to the complete answer from a server. */
 export function expectedCompletionMilliseconds(
   server: ServerLoad,
@@ -262,10 +281,15 @@
   let bestExpected = Infinity;
   let bestScore = Infinity;
   let hasLateCapacity = false;
+  let hasUnknownCapacity = false;
   for (const server of candidates) {
     if (estimatedLoad(server, context) >= concurrencyLimit(server.slots)) {
       continue;
     }
+    if (isProbablyBusy(server, context)) {
+      hasUnknownCapacity = true;
+      continue;
+    }
     const transferObjectives = transferCost(server, inputs);
     if (transferObjectives > request.maximumCrossDomainCostObjectives) continue;
     const expected = expectedCompletionMilliseconds(
@@ -284,7 +308,10 @@
     bestExpected = expected;
     best = server;
   }
-  if (best === undefined) return { kind: hasLateCapacity ? "late" : "full" };
+  if (best === undefined) {
+    if (hasUnknownCapacity) return { kind: "unknown" };
+    return { kind: hasLateCapacity ? "late" : "full" };
+  }
   return {
     kind: "placed",
     placement: {
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -133,6 +133,27 @@
     expect(chosen([full], { maximumExpectedMilliseconds: 250 })).toBe("full");
   });
 
+  it("does not send a request to a server of unknown load while others are busy", () => {
+    const stale = server({ id: "stale", reportAt: NOW - 1_000 });
+    const placeBeside = (occupancy: number) =>
+      place([stale], REQUEST, {
+        ...CONTEXT,
+        assumedOccupancy: () => occupancy,
+      }).kind;
+    expect(placeBeside(0.7)).toBe("unknown");
+    expect(placeBeside(0.1)).toBe("placed");
+  });
+
+  it("uses servers that report no load", () => {
+    const silent = new ServerLoad(makeRegistration({ id: "silent" }), 0);
+    silent.recordMissingReport();
+    const result = place([silent], REQUEST, {
+      ...CONTEXT,
+      assumedOccupancy: () => 0.7,
+    });
+    expect(result.kind).toBe("placed");
+  });
+
   it("uses a blocked server only if there is no other", () => {
     const blocked = server({ id: "blocked" });
     for (let call = 0; call < 3; call++) blocked.recordOutcome("failed", NOW);
