Placement: no more requests at a server than end fastest there

A server with six slots got up to eight requests. Together with blind sends this kept the overload up after its cause.

The limit is now the load at which a server ends most requests per second (6 slots: 4, 2 slots: 2).

--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -5,6 +5,7 @@
 import { needsLoadProbe } from "@marigoldford/kernel/load_probe";
 import {
   type CrossDomainCost,
+  limitOfHighestThroughput,
   place,
   type PlacementRequest,
   type PlacementResult,
@@ -69,6 +70,7 @@
       },
       staleEstimate,
       assumedOccupancy: reportedOccupancy(servers, now),
+      concurrencyLimit: limitOfHighestThroughput,
     });
   }
 
--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -71,6 +71,8 @@
    * server with capacity, by the number of requests in the queue.
    */
   readonly mayPlaceLate: (queueLength: number) => boolean;
+  /** Maximum number of requests at a server with a number of slots. */
+  readonly concurrencyLimit: (slots: number) => number;
 };
 
 export type SimulationResult = {
@@ -296,7 +298,7 @@
     tried: ReadonlySet<string>,
     maximumExpectedMilliseconds: number,
   ): PlacementResult {
-    const { now, random, load } = this.service;
+    const { now, random, load, policy } = this.service;
     const request: PlacementRequest = {
       serviceTimeMilliseconds: load.serviceTimeMilliseconds,
       objectiveMilliseconds: load.objectiveMilliseconds,
@@ -316,6 +318,7 @@
       },
       staleEstimate,
       assumedOccupancy: reportedOccupancy(this.loads, now),
+      concurrencyLimit: policy.concurrencyLimit,
     };
     return place(this.loads, request, context);
   }
--- a/packages/kernel/src/burst_recovery_test.ts
+++ b/packages/kernel/src/burst_recovery_test.ts
@@ -8,7 +8,10 @@
   type SimulatedLoad,
   simulateService,
 } from "./__fixtures__/simulated_service.ts";
-import { firstAttemptLimitMilliseconds } from "./placement.ts";
+import {
+  firstAttemptLimitMilliseconds,
+  limitOfHighestThroughput,
+} from "./placement.ts";
 
 const BURST_START_SECOND = 2;
 const BURST_END_SECOND = 5;
@@ -44,6 +47,7 @@
 const POLICY: PlacementPolicy = {
   maximumExpectedMilliseconds: firstAttemptLimitMilliseconds,
   mayPlaceLate: (queueLength) => queueLength === 0,
+  concurrencyLimit: limitOfHighestThroughput,
 };
 
 function mean(values: readonly number[]): number {
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -46,6 +46,8 @@
    * Load assumed for servers without a recent report, as a share of their slots.
    */
   readonly assumedOccupancy: (failureDomain: FailureDomain) => number;
+  /** Maximum number of requests at a server with a number of slots. */
+  readonly concurrencyLimit: (slots: number) => number;
 };
 
 /** Cost of opening connections, which servers and entries pay for. */
@@ -105,8 +107,6 @@
  * domain have less than this share of their slots occupied.
  */
 const MAXIMUM_ASSUMED_OCCUPANCY = 0.35;
-/** Requests that may queue at a server, as a share of its slots. */
-const QUEUED_SHARE = 0.25;
 /**
  * Requests vary in size and slow phases end, so answers expected slightly after
  * the objective are often in time.
@@ -128,12 +128,22 @@
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
- * Maximum number of requests sent to a server at the same time. A few of them
- * queue there, so that a slot is not idle until an entry learns that it is
- * free.
+ * Maximum number of requests at a server at the same time: the number at
+ * which it ends most requests per second. Beyond the knee each takes so much
+ * longer that fewer end, and a request that queues there may start in a slow
+ * phase.
  */
-export function concurrencyLimit(slots: number): number {
-  return slots + Math.ceil(slots * QUEUED_SHARE);
+export function limitOfHighestThroughput(slots: number): number {
+  let limit = 1;
+  for (let running = 2; running <= slots; running++) {
+    if (throughput(running, slots) > throughput(limit, slots)) limit = running;
+  }
+  return limit;
+}
+
+/** Requests that end per service time when `running` of them run. */
+function throughput(running: number, slots: number): number {
+  return running / contentionSlowdown(running - 1, slots);
 }
 
 /**
@@ -260,7 +270,7 @@
   request: PlacementRequest,
   context: PlacementContext,
 ): PlacementResult {
-  const { now } = context;
+  const { now, concurrencyLimit } = context;
   const inputs = { request, context };
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
