Placer: probe more than one failure domain in a round

An entry whose own failure domain was full spent all probes of a request there: a server that it had not heard from is assumed to be idle when servers are selected for probes, and the own domain is nearest.

The second and third round now probe the best server of each failure domain before a second one of the same. The test failed before.

--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -136,6 +136,27 @@
     return this.choose(service, { ...request, tried }, "optimistic");
   }
 
+  /**
+   * The best candidate outside of `domains`, if there is one. All servers of a
+   * failure domain may be full while another one has room.
+   */
+  #bestCandidateElsewhere(
+    selection: Selection,
+    tried: ReadonlySet<string>,
+    domains: ReadonlySet<FailureDomain>,
+  ): PlacementResult {
+    if (domains.size > 0) {
+      const skipped = new Set(tried);
+      const servers = this.#options.servers.ofService(selection.service);
+      for (const { registration: { id, failureDomain } } of servers) {
+        if (domains.has(failureDomain)) skipped.add(id);
+      }
+      const elsewhere = this.#bestCandidate(selection, skipped);
+      if (elsewhere.kind === "placed") return elsewhere;
+    }
+    return this.#bestCandidate(selection, tried);
+  }
+
   #reportAgeOf(server: ServerLoad): number {
     return server.reportAgeMilliseconds(this.#options.clock());
   }
@@ -163,13 +184,19 @@
     maximumProbes: number,
   ): Promise<number> {
     const picked = new Set(selection.excluded);
+    const pickedDomains = new Set<FailureDomain>();
     const probes: Promise<void>[] = [];
     while (probes.length < maximumProbes) {
-      const candidate = this.#bestCandidate(selection, picked);
+      const candidate = this.#bestCandidateElsewhere(
+        selection,
+        picked,
+        pickedDomains,
+      );
       if (candidate.kind !== "placed") break;
       const { server } = candidate.placement;
       const { id } = server.registration;
       picked.add(id);
+      pickedDomains.add(server.registration.failureDomain);
       if (this.#isFresh(server)) continue;
       probes.push(
         this.#options.prober.probeForRequest(server).then((result) => {
--- /dev/null
+++ b/packages/gateway/src/placer_test.ts
@@ -0,0 +1,98 @@
+/**
+ * Tests which servers are probed before a request is placed.
+ */
+import { describe, expect, it } from "vitest";
+import type { PlacementResult } from "@marigoldford/kernel/placement";
+import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
+import { ServerLoad } from "@marigoldford/kernel/server_load";
+import type { FailureDomain } from "@marigoldford/kernel/types";
+import { Placer, type PlacerOptions } from "./placer.ts";
+
+const NOW = 10_000;
+const SLOTS = 6;
+const MAXIMUM_PROBES = 6;
+const OWN: FailureDomain = "north";
+const OTHER: FailureDomain = "south";
+
+function makeServer(
+  failureDomain: FailureDomain,
+  sequence: number,
+): ServerLoad {
+  const registration: ServerRegistration = {
+    id: `${failureDomain}-${sequence}`,
+    service: "desk",
+    address: `10.0.0.${sequence}:80`,
+    failureDomain,
+    slots: SLOTS,
+    state: "ready",
+    warmUpLeftMilliseconds: 0,
+    bornAtMilliseconds: 0,
+    sequence: 1,
+  };
+  return new ServerLoad(registration, 0);
+}
+
+/** Places a request with no reports at first, and counts the probes. */
+async function placeWithProbes(
+  runningIn: Readonly<Record<FailureDomain, number>>,
+): Promise<{ result: PlacementResult; probed: FailureDomain[] }> {
+  const servers = Object.keys(runningIn).flatMap((failureDomain) =>
+    Array.from({ length: 20 }, (_, index) => makeServer(failureDomain, index))
+  );
+  const probed: FailureDomain[] = [];
+  const placer = new Placer({
+    clock: () => NOW,
+    random: () => 0.5,
+    failureDomain: OWN,
+    costs: {
+      crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
+      objectivesPerConnection: 0,
+    },
+    servers: {
+      ofService: () => servers,
+      find: () => undefined,
+    } as unknown as PlacerOptions["servers"],
+    prober: {
+      isConnected: () => true,
+      probeForRequest: (server: ServerLoad) => {
+        const { failureDomain } = server.registration;
+        probed.push(failureDomain);
+        server.recordReport({
+          running: runningIn[failureDomain],
+          waiting: 0,
+          slots: SLOTS,
+          slowdown: 1,
+        }, NOW);
+        return Promise.resolve("answered" as const);
+      },
+    } as unknown as PlacerOptions["prober"],
+  });
+  const result = await placer.chooseAfterProbing("desk", {
+    serviceTimeMilliseconds: 350,
+    objectiveMilliseconds: 800,
+    answerBytes: 2_000,
+    tried: new Set(),
+    maximumCrossDomainCostObjectives: Infinity,
+    maximumExpectedMilliseconds: 960,
+  }, () => 4_000);
+  return { result, probed };
+}
+
+describe("probes before a placement", () => {
+  it("find room in another failure domain when the own one is full", async () => {
+    const { result, probed } = await placeWithProbes({
+      [OWN]: SLOTS,
+      [OTHER]: 0,
+    });
+    const domain = result.kind === "placed"
+      ? result.placement.server.registration.failureDomain
+      : result.kind;
+    expect(domain).toBe(OTHER);
+    expect(probed.length).toBeLessThanOrEqual(MAXIMUM_PROBES);
+  });
+
+  it("stay in the own failure domain while it has room", async () => {
+    const { probed } = await placeWithProbes({ [OWN]: 0, [OTHER]: 0 });
+    expect(probed).toEqual([OWN]);
+  });
+});
