--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -5,11 +5,13 @@
 import { needsLoadProbe } from "@marigoldford/kernel/load_probe";
 import {
   type CrossDomainCost,
+  limitOfHighestThroughput,
   place,
   type PlacementRequest,
   type PlacementResult,
   type StaleEstimate,
 } from "@marigoldford/kernel/placement";
+import { reportedOccupancy } from "@marigoldford/kernel/reported_occupancy";
 import type {
   Clock,
   FailureDomain,
@@ -53,10 +55,12 @@
     request: PlacementRequest,
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
-    const { servers, clock, random, failureDomain } = this.#options;
+    const { clock, random, failureDomain } = this.#options;
     const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
-    return place(servers.ofService(service), request, {
-      now: clock(),
+    const servers = this.#options.servers.ofService(service);
+    const now = clock();
+    return place(servers, request, {
+      now,
       random,
       ownFailureDomain: failureDomain,
       crossDomainCost,
@@ -65,6 +69,8 @@
         objectivesPerConnection,
       },
       staleEstimate,
+      assumedOccupancy: reportedOccupancy(servers, now),
+      concurrencyLimit: limitOfHighestThroughput,
     });
   }
 
@@ -130,6 +136,27 @@
     return this.choose(service, { ...request, tried }, "optimistic");
   }
 
+  /**
+   * The best candidate outside of `domains`, if there is one. All servers of a
+   * failure domain may be full while another one has room.
+   */
+  #bestCandidateElsewhere(
+    selection: Selection,
+    tried: ReadonlySet<string>,
+    domains: ReadonlySet<FailureDomain>,
+  ): PlacementResult {
+    if (domains.size > 0) {
+      const skipped = new Set(tried);
+      const servers = this.#options.servers.ofService(selection.service);
+      for (const { registration: { id, failureDomain } } of servers) {
+        if (domains.has(failureDomain)) skipped.add(id);
+      }
+      const elsewhere = this.#bestCandidate(selection, skipped);
+      if (elsewhere.kind === "placed") return elsewhere;
+    }
+    return this.#bestCandidate(selection, tried);
+  }
+
   #reportAgeOf(server: ServerLoad): number {
     return server.reportAgeMilliseconds(this.#options.clock());
   }
@@ -157,13 +184,19 @@
     maximumProbes: number,
   ): Promise<number> {
     const picked = new Set(selection.excluded);
+    const pickedDomains = new Set<FailureDomain>();
     const probes: Promise<void>[] = [];
     while (probes.length < maximumProbes) {
-      const candidate = this.#bestCandidate(selection, picked);
+      const candidate = this.#bestCandidateElsewhere(
+        selection,
+        picked,
+        pickedDomains,
+      );
       if (candidate.kind !== "placed") break;
       const { server } = candidate.placement;
       const { id } = server.registration;
       picked.add(id);
+      pickedDomains.add(server.registration.failureDomain);
       if (this.#isFresh(server)) continue;
       probes.push(
         this.#options.prober.probeForRequest(server).then((result) => {
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -42,6 +42,12 @@
   readonly crossDomainCost: CrossDomainCost;
   readonly connectionCost: ConnectionCost;
   readonly staleEstimate: StaleEstimate;
+  /**
+   * Load assumed for servers without a recent report, as a share of their slots.
+   */
+  readonly assumedOccupancy: (failureDomain: FailureDomain) => number;
+  /** Maximum number of requests at a server with a number of slots. */
+  readonly concurrencyLimit: (slots: number) => number;
 };
 
 /** Cost of opening connections, which servers and entries pay for. */
@@ -71,6 +77,8 @@
  * - `held-back`: what the servers have said of themselves forbids to send any of
  *   them a request for some milliseconds, which may be infinitely many.
  * - `late`: a server has capacity, but none is expected to answer in time.
+ * - `unknown`: no server is known to have capacity, and so many are busy that
+ *   those without a recent report are probably full as well.
  * - `none`: every server was tried already, or there is none.
  */
 export type PlacementResult =
@@ -78,6 +86,7 @@
   | { readonly kind: "full" }
   | { readonly kind: "held-back"; readonly milliseconds: number }
   | { readonly kind: "late" }
+  | { readonly kind: "unknown" }
   | { readonly kind: "none" };
 
 type ScoringInputs = {
@@ -93,8 +102,11 @@
 /** Servers slow down above this share of occupied slots. */
 const KNEE_OCCUPANCY = 0.8;
 const KNEE_SLOWDOWN = 1.7;
-/** Requests that may queue at a server, as a share of its slots. */
-const QUEUED_SHARE = 0.25;
+/**
+ * Servers without a recent report are used while the servers of their failure
+ * domain have less than this share of their slots occupied.
+ */
+const MAXIMUM_ASSUMED_OCCUPANCY = 0.35;
 /**
  * Requests vary in size and slow phases end, so answers expected slightly after
  * the objective are often in time.
@@ -116,12 +128,22 @@
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
- * Maximum number of requests sent to a server at the same time. A few of them
- * queue there, so that a slot is not idle until an entry learns that it is
- * free.
+ * Maximum number of requests at a server at the same time: the number at
+ * which it ends most requests per second. Beyond the knee each takes so much
+ * longer that fewer end, and a request that queues there may start in a slow
+ * phase.
  */
-export function concurrencyLimit(slots: number): number {
-  return slots + Math.ceil(slots * QUEUED_SHARE);
+export function limitOfHighestThroughput(slots: number): number {
+  let limit = 1;
+  for (let running = 2; running <= slots; running++) {
+    if (throughput(running, slots) > throughput(limit, slots)) limit = running;
+  }
+  return limit;
+}
+
+/** Requests that end per service time when `running` of them run. */
+function throughput(running: number, slots: number): number {
+  return running / contentionSlowdown(running - 1, slots);
 }
 
 /**
@@ -139,14 +161,47 @@
   return isBeyondKnee(load + 1, slots) ? KNEE_SLOWDOWN : 1;
 }
 
+type ServerView = Pick<
+  PlacementContext,
+  "now" | "staleEstimate" | "assumedOccupancy"
+>;
+
+/**
+ * Requests at a server. Without a recent report only the requests of this
+ * entry are known, so at least the usual load of the service is assumed, except
+ * to select the servers to probe.
+ */
+function estimatedLoad(
+  server: ServerLoad,
+  { now, staleEstimate, assumedOccupancy }: ServerView,
+): number {
+  const load = server.load(now);
+  if (staleEstimate === "optimistic" || server.isReportCounted(now)) {
+    return load;
+  }
+  const { failureDomain } = server.registration;
+  return Math.max(load, assumedOccupancy(failureDomain) * server.slots);
+}
+
+/** Whether the server may be full without this entry knowing. */
+function isProbablyBusy(
+  server: ServerLoad,
+  { now, staleEstimate, assumedOccupancy }: ServerView,
+): boolean {
+  if (staleEstimate === "optimistic" || !server.mayReport) return false;
+  if (server.isReportCounted(now)) return false;
+  const { failureDomain } = server.registration;
+  return assumedOccupancy(failureDomain) > MAXIMUM_ASSUMED_OCCUPANCY;
+}
+
 /** Expected time to the complete answer from a server. */
 export function expectedCompletionMilliseconds(
   server: ServerLoad,
   serviceTimeMilliseconds: number,
-  view: { now: number; staleEstimate: StaleEstimate },
+  view: ServerView,
 ): number {
   const { now, staleEstimate } = view;
-  const load = server.load(now);
+  const load = estimatedLoad(server, view);
   let slowdown = server.slowdown(now, STALE_SLOWDOWN[staleEstimate]) *
     contentionSlowdown(load, server.slots);
   if (server.isCold(now)) slowdown *= COLD_SLOWDOWN;
@@ -162,9 +217,9 @@
 function addedDelay(
   server: ServerLoad,
   serviceTime: number,
-  now: number,
+  view: ServerView,
 ): number {
-  const load = server.load(now);
+  const load = estimatedLoad(server, view);
   const isKneePassed = isBeyondKnee(load + 1, server.slots) &&
     !isBeyondKnee(load, server.slots);
   return isKneePassed
@@ -192,7 +247,7 @@
   const { request, context } = inputs;
   const { objectiveMilliseconds: objective } = request;
   let total = expected +
-    addedDelay(server, request.serviceTimeMilliseconds, context.now);
+    addedDelay(server, request.serviceTimeMilliseconds, context);
   const transferObjectives = transferCost(server, inputs);
   if (transferObjectives > 0) {
     total += context.crossDomainCost.roundTripMilliseconds +
@@ -215,7 +270,7 @@
   request: PlacementRequest,
   context: PlacementContext,
 ): PlacementResult {
-  const { now, staleEstimate } = context;
+  const { now, concurrencyLimit } = context;
   const inputs = { request, context };
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
@@ -236,17 +291,21 @@
   let bestExpected = Infinity;
   let bestScore = Infinity;
   let hasLateCapacity = false;
+  let hasUnknownCapacity = false;
   for (const server of candidates) {
-    if (server.load(now) >= concurrencyLimit(server.slots)) continue;
+    if (estimatedLoad(server, context) >= concurrencyLimit(server.slots)) {
+      continue;
+    }
+    if (isProbablyBusy(server, context)) {
+      hasUnknownCapacity = true;
+      continue;
+    }
     const transferObjectives = transferCost(server, inputs);
     if (transferObjectives > request.maximumCrossDomainCostObjectives) continue;
     const expected = expectedCompletionMilliseconds(
       server,
       request.serviceTimeMilliseconds,
-      {
-        now,
-        staleEstimate,
-      },
+      context,
     );
     if (expected > request.maximumExpectedMilliseconds) {
       hasLateCapacity = true;
@@ -259,7 +318,10 @@
     bestExpected = expected;
     best = server;
   }
-  if (best === undefined) return { kind: hasLateCapacity ? "late" : "full" };
+  if (best === undefined) {
+    if (hasUnknownCapacity) return { kind: "unknown" };
+    return { kind: hasLateCapacity ? "late" : "full" };
+  }
   return {
     kind: "placed",
     placement: {
