Gateway: refuse a request target that is no URL at the auxiliary servers

A GET of '//' at the address for lookups, readiness or metrics ended the process, and the requests that it was handling got no answer: the exception of the URL parser was uncaught. It is now answered 404.

'is refused and ends no process' failed before at all three addresses (the connection closed without an answer, the process ended) and passes now.

--- a/packages/gateway/src/text_server.ts
+++ b/packages/gateway/src/text_server.ts
@@ -13,6 +13,7 @@
   readonly text?: string;
 };
 
+const BASE_URL = "http://entry";
 const NOT_FOUND: TextAnswer = { status: 404 };
 
 /** Serves GET requests; `answer` gets the URL with its path and query. */
@@ -21,8 +22,10 @@
   answer: (url: URL) => TextAnswer | undefined,
 ): AuxiliaryServer {
   const server = createServer((request, response) => {
-    const url = new URL(request.url ?? "/", "http://entry");
-    const found = request.method === "GET" ? answer(url) : undefined;
+    const target = request.url ?? "/";
+    const isReadable = request.method === "GET" &&
+      URL.canParse(target, BASE_URL);
+    const found = isReadable ? answer(new URL(target, BASE_URL)) : undefined;
     const { status, contentType, text = "" } = found ?? NOT_FOUND;
     response.writeHead(status, {
       "content-length": Buffer.byteLength(text),
