Gateway: treat an answer with a malformed status line as unusable

An answer of a backend server with a status below 200, or with a control character in its reason, ended the process, and all requests that it was handling got no answer: Node's parser accepts both, its server throws.

Such an answer now counts as unusable, like other damaged ones. 'counts as an unusable answer and ends no process' failed before (the caller's connection was reset) and passes now.

--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -129,6 +129,17 @@
     headers["transfer-encoding"] !== undefined;
 }
 
+const MINIMUM_FINAL_STATUS = 200;
+/** Characters that Node's parser accepts there, but its server rejects. */
+const MALFORMED_REASON = /[^\t\x20-\x7e\x80-\xff]/;
+
+function hasMalformedStatusLine(
+  { statusCode = 0, statusMessage = "" }: IncomingMessage,
+): boolean {
+  return statusCode < MINIMUM_FINAL_STATUS ||
+    MALFORMED_REASON.test(statusMessage);
+}
+
 type AttemptPhase = "connecting" | "sent" | "buffering" | "streaming" | "ended";
 
 export class ServerAttempt {
@@ -337,6 +348,9 @@
     if (id === undefined) {
       return { kind: "unusable-answer", why: "no request id" };
     }
+    if (hasMalformedStatusLine(answer)) {
+      return { kind: "unusable-answer", why: "malformed status line" };
+    }
     if (answer.headers["content-encoding"] !== undefined) {
       return { kind: "unusable-answer", why: "encoded body" };
     }
