Gateway: a leaving entry cuts no request that waits for an earlier answer

Callers that send requests without waiting for the answers before them lost those behind the first one, at an entry that was asked to stop: a server ran them, and the connection ended without their answers.

Cause: every answer of a leaving entry closes its connection, although requests that arrived behind it were already running.

The connection is now closed by the answer to its last request; one that arrives after such an answer has begun is not run. 'runs no request behind one whose answer closes it' failed before (2 ran, 1 answered) and passes now.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -11,7 +11,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   /** Whether the connection stays open after the answer. */
-  readonly mayKeepConnection: () => boolean;
+  readonly mayKeepConnection: (response: ServerResponse) => boolean;
 };
 
 export class AnswerWriter {
@@ -98,7 +98,7 @@
 
   #writeHead(status: number, message: string | undefined, raw: string[]): void {
     const { response } = this.#options;
-    if (!this.#options.mayKeepConnection()) {
+    if (!this.#options.mayKeepConnection(response)) {
       response.shouldKeepAlive = false;
       raw.push("Connection", "close");
     }
--- a/packages/gateway/src/call_server.ts
+++ b/packages/gateway/src/call_server.ts
@@ -1,7 +1,8 @@
 /**
  * The HTTP server for callers, which can stop without interrupting requests.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RequestLimits } from "@marigoldford/kernel/routing_snapshot";
 import type { Address, Clock } from "@marigoldford/kernel/types";
@@ -26,11 +27,18 @@
 export class CallServer {
   readonly #server: Server;
   readonly #clock: Clock;
+  /** The last request of a connection may wait for the answers before it. */
+  readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
   #inProgress = 0;
   #lastRequestAtMilliseconds = -Infinity;
 
   constructor(context: ExchangeContext) {
     this.#clock = context.clock;
+    const exchangeContext: ExchangeContext = {
+      ...context,
+      mayKeepConnections: (response) =>
+        context.mayKeepConnections(response) || this.#isFollowed(response),
+    };
     this.#server = createServer({
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       noDelay: true,
@@ -38,10 +46,12 @@
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MILLISECONDS,
     }, (request, response) => {
+      if (this.#isBehindClosing(request.socket)) return;
+      this.#lastResponses.set(request.socket, response);
       this.#inProgress += 1;
       this.#lastRequestAtMilliseconds = this.#clock();
       response.sendDate = false;
-      const exchange = new RequestExchange(context, request, response);
+      const exchange = new RequestExchange(exchangeContext, request, response);
       exchange.start(() => this.#inProgress -= 1);
     });
     this.#server.on("checkContinue", (request, response) => {
@@ -54,6 +64,17 @@
     return this.#inProgress;
   }
 
+  /** Whether another request has arrived behind that of a response. */
+  #isFollowed(response: ServerResponse): boolean {
+    return this.#lastResponses.get(response.req.socket) !== response;
+  }
+
+  /** Whether an answer that closes the connection leaves no room for another. */
+  #isBehindClosing(socket: Socket): boolean {
+    const last = this.#lastResponses.get(socket);
+    return last !== undefined && last.headersSent && !last.shouldKeepAlive;
+  }
+
   /** Time since the last request arrived. */
   get idleMilliseconds(): number {
     return this.#clock() - this.#lastRequestAtMilliseconds;
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -1,6 +1,7 @@
 /**
  * Parts and state of the entry that a request exchange uses.
  */
+import type { ServerResponse } from "node:http";
 import type { LeavingAdmissionInputs } from "@marigoldford/kernel/leaving_admission";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
@@ -35,8 +36,8 @@
       "timeLimitMilliseconds" | "objectiveMilliseconds"
     >,
   ) => boolean;
-  /** Whether caller connections stay open after an answer. */
-  readonly mayKeepConnections: () => boolean;
+  /** Whether a caller's connection stays open after an answer. */
+  readonly mayKeepConnections: (response: ServerResponse) => boolean;
   readonly onInFlightChange: () => void;
   readonly onReport: (server: ServerLoad) => void;
 };
