Simulation: a large fleet stays overloaded after a burst (known red)

Callers of large fleets get late answers and refusals for as long as the load goes on, although the burst that began it is over.

The new test has 40 servers, 100 entries that exchange no counts, and 80 requests a second of 1.2 s with 5 s of 130.

--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -9,7 +9,7 @@
  */
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { needsLoadProbe } from "../load_probe.ts";
+import { FRESH_REPORT_MILLISECONDS, needsLoadProbe } from "../load_probe.ts";
 import {
   place,
   type PlacementContext,
@@ -197,13 +197,15 @@
       const optimistic = this.#place("optimistic", maximumMilliseconds);
       if (optimistic.kind !== "placed") break;
       const { server } = optimistic.placement;
+      const reportAgeMilliseconds = server.reportAgeMilliseconds(now);
+      if (reportAgeMilliseconds <= FRESH_REPORT_MILLISECONDS) return optimistic;
       const isProbeNeeded = needsLoadProbe({
-        reportAgeMilliseconds: server.reportAgeMilliseconds(now),
+        reportAgeMilliseconds,
         mayReport: server.mayReport,
         probesSent,
         remainingMilliseconds: Infinity,
       });
-      if (!isProbeNeeded) return optimistic;
+      if (!isProbeNeeded) break;
       if (!this.#budget.trySpend()) break;
       this.recordReport(Number(server.registration.id));
     }
--- a/packages/kernel/src/placement_simulation_test.ts
+++ b/packages/kernel/src/placement_simulation_test.ts
@@ -138,3 +138,28 @@
     );
   });
 });
+
+describe("placement in a large fleet after a burst", () => {
+  /** The load before the burst goes on for 13 s after it. */
+  const AFTER_BURST: SimulatedLoad = {
+    ...NOISY,
+    servers: 40,
+    entries: 100,
+    maximumProbesPerSecond: 60,
+    requestsPerSecond: (at) => {
+      if (at >= 2_000 && at < 7_000) return 130;
+      return at < 20_000 ? 80 : 0;
+    },
+    seconds: 24,
+    serviceTimeMilliseconds: 1_200,
+    objectiveMilliseconds: 3_000,
+    deadlineMilliseconds: 12_000,
+    slowServerShare: 0.25,
+    isSpeedKept: true,
+    areCountsExchanged: false,
+  };
+
+  it("does not stay overloaded once the burst is over", () => {
+    expect(share(AFTER_BURST, IN_TIME, "inTime")).toBeGreaterThan(0.95);
+  });
+});
