Discovery: a listing that is read again goes to all peers (known red)

Once the discovery service has dropped its history, nearly all entries of a fleet read it anew and each sends the whole listing to its peers. The test reads three known and one new registration and expects at most the new one to be passed on; 4 are.

--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -184,6 +184,25 @@
     synchronizer.stop();
   });
 
+  it("does not send peers what they know once the history is gone", async () => {
+    const { service, synchronizer, updates } = setUp();
+    const known = ["one", "two", "three"].map((id) => registration(id, 1));
+    service.changes = known;
+    synchronizer.start();
+    await advance(3_000);
+    service.behaviour = "history-gone";
+    await advance(100);
+    updates.length = 0;
+    service.behaviour = "answering";
+    service.revision = 9;
+    service.changes = [...known, registration("four", 8)];
+    await advance(1_000);
+    expect(synchronizer.state.records.size).toBe(4);
+    const sent = updates.flatMap(({ changes }) => changes);
+    expect(sent.length).toBeLessThanOrEqual(1);
+    synchronizer.stop();
+  });
+
   it("drops at once a server removed right after the start", async () => {
     const { service, synchronizer } = setUp();
     synchronizer.start();
