Discovery: pass on what a listing changed, not the whole listing

Callers of large fleets got late answers for seconds after the discovery service had dropped its history: connections to all servers failed.

Cause: each entry that reads the service anew sent the whole listing to its peers. Nearly all entries do so at once when the history is gone, each some 100 KB to more than fifty peers, which fills links of 14 Mbit/s for seconds.

Ruled out: dead or full servers, as all 461 failed at once, at entries with narrow links only.

A peer at the revision before gets all that is new, removals included. One that is further behind notices the gap and asks for the state, as for any change that it missed. An entry without a state still passes on what it reads first.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -189,13 +189,14 @@
     });
   }
 
-  #applyUpdate(apply: () => DiscoveryChange[]): void {
+  #applyUpdate(apply: () => DiscoveryChange[]): DiscoveryChange[] {
     const isFirst = this.state.revision === 0;
     if (!isFirst && this.stateAgeMilliseconds > OUTAGE_MILLISECONDS) {
       this.state.recordRecovery(this.#now());
     }
     const changes = apply();
     if (changes.length > 0) this.#options.onChange(changes);
+    return changes;
   }
 
   async #run(): Promise<void> {
@@ -263,10 +264,15 @@
     const listing = await this.#options.source.readAll();
     if (listing.isErr()) return listing.error;
     this.#mustReadAll = false;
-    this.#applyUpdate(() =>
+    const changes = this.#applyUpdate(() =>
       this.state.applyListing(listing.value, this.#now())
     );
-    this.#onSuccess({ baseRevision, ...listing.value, isListing: true });
+    const { revision } = listing.value;
+    this.#onSuccess(
+      baseRevision === 0
+        ? { baseRevision, ...listing.value, isListing: true }
+        : { baseRevision, revision, changes },
+    );
     return undefined;
   }
 
