An entry of the store that is nested deeply no longer ends the process

What was seen: one registration with a value nested 100,000 deep, as a whole or in any field that is read, ends the entry by an uncaught RangeError, and what is left of it no longer follows the store.

Cause: JSON.parse takes any depth, but the text of the refusal was made with JSON.stringify, which recurses. The refusal itself failed, inside a promise that nobody awaits.

Change: the readers of fields describe a value without looking into it. They move to the kernel, as peers' messages will be read with them too.

Evidence: platform/src/odd_entries_test.ts, on the code before: the seven cases of a value nested deeply that were run failed by timeout (the route that the operator adds is not served) with an unhandled rejection each; now all twelve pass.

--- a/platform/src/json_fields.ts
+++ b/packages/kernel/src/field_readers.ts
@@ -1,5 +1,5 @@
 /**
- * Reads fields of decoded JSON and checks their types.
+ * Reads fields of decoded values that others wrote, and checks their types.
  */
 import { err, ok, type Result } from "neverthrow";
 
@@ -11,11 +11,23 @@
 
 export type JsonObject = Readonly<Record<string, unknown>>;
 
+const MAXIMUM_SHOWN_CHARACTERS = 80;
+
+/** Never recurses, as values may be nested more deeply than the stack is. */
+function describe(value: unknown): string {
+  if (Array.isArray(value)) return `an array of ${value.length}`;
+  if (typeof value === "object" && value !== null) return "an object";
+  if (typeof value !== "string") return String(value);
+  const shown = JSON.stringify(value.slice(0, MAXIMUM_SHOWN_CHARACTERS));
+  return value.length > MAXIMUM_SHOWN_CHARACTERS
+    ? `${shown} and ${value.length - MAXIMUM_SHOWN_CHARACTERS} characters more`
+    : shown;
+}
+
 function malformed(path: string, given: unknown, expected: string) {
-  const text = JSON.stringify(given)?.slice(0, 80);
   return err<never, ValueMalformed>({
     kind: "value-malformed",
-    detail: `${path} is ${text}; expected ${expected}`,
+    detail: `${path} is ${describe(given)}; expected ${expected}`,
   });
 }
 
