An address that Node refuses at once is a failed connection, not an exception

What was seen: connect(), an agent's createConnection() and the send() of a UDP socket throw if a port is out of range. In a probe, a request, a message to a peer or a message between daemons that ends the process.

Cause: failures were expected as events only.

Change: connections are opened by functions whose failures all arrive as events; the attempt counts as not connected, so the request did not run. A datagram that cannot be sent is counted as unsent.

--- a/packages/gateway/src/datagram_socket.ts
+++ b/packages/gateway/src/datagram_socket.ts
@@ -2,6 +2,7 @@
  * The UDP socket on which entries exchange membership, freshness of discovery
  * state, server loads and crash reports.
  */
+import type { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { Address } from "@marigoldford/kernel/types";
@@ -50,11 +51,19 @@
   send(to: readonly Address[], datagram: FleetDatagram): void {
     if (to.length === 0) return;
     const bytes = encodeFleetMessage(datagram);
-    for (const address of to) {
-      const { host, port } = splitAddress(address);
+    for (const address of to) this.#sendTo(address, bytes);
+  }
+
+  #sendTo(address: Address, bytes: Buffer): void {
+    const { host, port } = splitAddress(address);
+    const { onSendFailure } = this.#options;
+    try {
       this.#socket.send(bytes, port, host, (error) => {
-        if (error !== null) this.#options.onSendFailure(address);
+        if (error !== null) onSendFailure(address);
       });
+    } catch {
+      // Node refuses an impossible port at once.
+      onSendFailure(address);
     }
   }
 
--- a/packages/gateway/src/frame_connections.ts
+++ b/packages/gateway/src/frame_connections.ts
@@ -5,15 +5,11 @@
  * its path, such as a firewall, may have dropped its state.
  */
 import type { Buffer } from "node:buffer";
-import {
-  createConnection,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { Address } from "@marigoldford/kernel/types";
 import { encodeFrame, FrameDecoder } from "@marigoldford/mesh/frame";
+import { openConnection } from "@marigoldford/mesh/open_connection";
 import {
   decodeFleetFrame,
   encodeFleetMessage,
@@ -66,7 +62,7 @@
     const existing = this.#opened.get(address);
     if (existing !== undefined && !existing.destroyed) return existing;
     const { host, port } = splitAddress(address);
-    const socket = createConnection({ host, port });
+    const socket = openConnection({ host, port });
     this.#opened.set(address, socket);
     socket.on("close", () => {
       if (this.#opened.get(address) === socket) this.#opened.delete(address);
--- a/packages/gateway/src/probe_connection.ts
+++ b/packages/gateway/src/probe_connection.ts
@@ -7,9 +7,10 @@
  * there. A request that follows a probe may take over its connection.
  */
 import type { Buffer } from "node:buffer";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { Address, Clock } from "@marigoldford/kernel/types";
+import { openConnection } from "@marigoldford/mesh/open_connection";
 import { type AnswerHead, parseAnswerHead } from "./answer_head.ts";
 
 /** `undefined`: the connection broke or the answer was malformed. */
@@ -82,7 +83,7 @@
 
   #open(): Socket {
     const { host, port } = splitAddress(this.address);
-    const socket = connect({ host, port, noDelay: true });
+    const socket = openConnection({ host, port, noDelay: true });
     socket.unref();
     const onEnd = () => {
       if (socket === this.#socket) this.close();
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -86,15 +86,29 @@
   /** Called by Node when a request needs a connection and none is idle. */
   override createConnection(
     ...parameters: Parameters<Agent["createConnection"]>
-  ): Socket {
+  ): Socket | undefined {
     const taken = this.#options.takeConnection();
     if (taken !== undefined) USED_SOCKETS.add(taken);
-    const socket = taken ?? super.createConnection(...parameters) as Socket;
+    const socket = taken ?? this.#openConnection(parameters);
+    if (socket === undefined) return undefined;
     // Records whether the connection ends by an error, such as a reset.
     socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
     return socket;
   }
 
+  /** Reports an address that Node refuses at once as a failed connection. */
+  #openConnection(
+    [options, onCreated]: Parameters<Agent["createConnection"]>,
+  ): Socket | undefined {
+    try {
+      return super.createConnection(options, onCreated) as Socket;
+    } catch (error) {
+      // Node uses no socket that comes with an error.
+      onCreated?.(error as Error, undefined as unknown as Socket);
+      return undefined;
+    }
+  }
+
   /** Whether a request would find an open connection. */
   get hasIdle(): boolean {
     for (const _host in this.freeSockets) return true;
--- a/packages/mesh/src/mesh_node.ts
+++ b/packages/mesh/src/mesh_node.ts
@@ -2,12 +2,13 @@
  * All mesh connections of one entry: accepts those of peers and opens one to a
  * peer when a message is first sent to it.
  */
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { splitAddress } from "@marigoldford/kernel/address";
 import { MeshConnection } from "./mesh_connection.ts";
 import type { MeshRequestContent } from "./mesh_connection.ts";
 import { MESH_VERSION, type MeshMessage, type MeshReply } from "./messages.ts";
+import { openConnection } from "./open_connection.ts";
 import { TrafficCounters } from "./traffic_counters.ts";
 
 export type MeshNodeOptions = {
@@ -86,7 +87,7 @@
   }
 
   #openSocket(meshAddress: string): Socket {
-    const socket = connect(splitAddress(meshAddress));
+    const socket = openConnection(splitAddress(meshAddress));
     const timer = setTimeout(() => {
       if (socket.connecting) socket.destroy();
     }, this.#options.connectTimeoutMilliseconds);
