Settings with an address that cannot be connected to are refused

Seeds, the discovery service's address and the own ones had the same pattern of counted digits as the servers' addresses: port 99999 or an octet of 256 passed. They use the pattern of the kernel now. options_test.ts: three such seeds were accepted before; settings nested deeply were refused before and still are.

--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -7,9 +7,10 @@
 import * as EffectResult from "effect/Result";
 import * as Schema from "effect/Schema";
 import { err, ok, type Result } from "neverthrow";
+import { IPV4_ADDRESS } from "@marigoldford/kernel/address";
 
 const AddressOption = Schema.String.check(
-  Schema.isPattern(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, {
+  Schema.isPattern(IPV4_ADDRESS, {
     expected: "an IP address and a port, such as 127.0.0.1:8080",
   }),
 );
--- a/packages/gateway/src/options_test.ts
+++ b/packages/gateway/src/options_test.ts
@@ -51,4 +51,26 @@
     expect(detail).toContain('["bounds"]["graceSeconds"]');
     expect(detail).toContain('["bounds"]["retryShare"]');
   });
+
+  it("refuses addresses that cannot be connected to", () => {
+    for (const seed of ["10.0.0.1:99999", "10.0.0.1:0", "10.0.0.256:83"]) {
+      const result = parseGatewayOptions({ ...VALID_SETTINGS, seeds: [seed] });
+      expect(result.isErr()).toBe(true);
+    }
+  });
+
+  it("refuses settings that are nested deeply", () => {
+    const nested = JSON.parse("[".repeat(100_000) + "]".repeat(100_000));
+    for (
+      const settings of [
+        nested,
+        { ...VALID_SETTINGS, seeds: nested },
+        { ...VALID_SETTINGS, discovery: { source: nested, address: nested } },
+        { ...VALID_SETTINGS, instance: nested },
+      ]
+    ) {
+      const result = parseGatewayOptions(settings);
+      expect(result._unsafeUnwrapErr().kind).toBe("options-invalid");
+    }
+  });
 });
