A registration with a value out of range is no server

What was seen: a start time or a count of 2^53 - 1 under the id of a server hides all its later writes, as they count as older: its draining is never seen. A capacity of 10^9, a warm-up of 10^300 s and names of 100,000 characters are taken for servers; the names make the messages to peers too long.

Cause: the readers checked that numbers are finite and not negative, and that texts are not empty; no upper bound.

Change: kernel/foreign_fields.ts has the fields that others write, each with its type and range, far beyond real values. The times stay below the longest timer.

--- a/packages/kernel/src/field_readers.ts
+++ b/packages/kernel/src/field_readers.ts
@@ -67,27 +67,45 @@
     : malformed(path, value, expected);
 }
 
-/** Reads a finite number that is not below `minimum`. */
+/** Both ends are allowed. */
+export type NumberRange = {
+  /** 0 if it is left out. */
+  readonly minimum?: number;
+  readonly maximum?: number;
+};
+
+/** Reads a finite number in a range. */
 export function readNumber(
   value: unknown,
   path: string,
-  minimum = 0,
+  range: NumberRange = {},
 ): Result<number, ValueMalformed> {
-  return typeof value === "number" && Number.isFinite(value) && value >= minimum
+  return isInRange(value, range)
     ? ok(value)
-    : malformed(path, value, `a number of ${minimum} or more`);
+    : malformed(path, value, `a number ${describeRange(range)}`);
 }
 
 export function readInteger(
   value: unknown,
   path: string,
-  minimum = 0,
+  range: NumberRange = {},
 ): Result<number, ValueMalformed> {
-  return readNumber(value, path, minimum).andThen((number) =>
-    Number.isSafeInteger(number)
-      ? ok(number)
-      : malformed(path, value, "an integer")
-  );
+  return isInRange(value, range) && Number.isSafeInteger(value)
+    ? ok(value)
+    : malformed(path, value, `an integer ${describeRange(range)}`);
+}
+
+function isInRange(
+  value: unknown,
+  { minimum = 0, maximum = Number.MAX_VALUE }: NumberRange,
+): value is number {
+  return typeof value === "number" && value >= minimum && value <= maximum;
+}
+
+function describeRange({ minimum = 0, maximum }: NumberRange): string {
+  return maximum === undefined
+    ? `of ${minimum} or more`
+    : `from ${minimum} to ${maximum}`;
 }
 
 export function readOneOf<Option extends string>(
--- /dev/null
+++ b/packages/kernel/src/foreign_fields.ts
@@ -0,0 +1,107 @@
+/**
+ * Readers of the fields that others write: backend servers, operators and
+ * entries of other builds. Each checks type and range, so that every value that
+ * gets further can be used in timers, messages, headers and arithmetic.
+ *
+ * The ranges are far beyond any real value; a value out of range is a mistake
+ * of its writer.
+ */
+import type { Result } from "neverthrow";
+import { IPV4_ADDRESS } from "./address.ts";
+import {
+  readInteger,
+  readMatchingString,
+  readNumber,
+  type ValueMalformed,
+} from "./field_readers.ts";
+import type { Address } from "./types.ts";
+
+/** Keeps times in milliseconds below the longest timer, 24 days. */
+const MAXIMUM_SECONDS = 86_400;
+const MILLISECONDS_IN_SECOND = 1_000;
+const MAXIMUM_SLOTS = 1_000_000;
+/** In the year 2286. */
+const MAXIMUM_UNIX_MILLISECONDS = 10_000_000_000_000;
+const MAXIMUM_SEQUENCE = 1_000_000_000_000;
+const MAXIMUM_AMOUNT = 1_000_000_000_000;
+
+const NAME = {
+  pattern: /^[^]{1,256}$/,
+  expected: "a text of 1 to 256 characters",
+};
+const ADDRESS = {
+  pattern: IPV4_ADDRESS,
+  expected: "an IPv4 address and a port",
+};
+const PATH = {
+  pattern: /^\/[!-~]{0,4095}$/,
+  expected: "a path of visible ASCII characters",
+};
+
+export function readName(
+  value: unknown,
+  path: string,
+): Result<string, ValueMalformed> {
+  return readMatchingString(value, path, NAME);
+}
+
+export function readAddress(
+  value: unknown,
+  path: string,
+): Result<Address, ValueMalformed> {
+  return readMatchingString(value, path, ADDRESS);
+}
+
+export function readPath(
+  value: unknown,
+  path: string,
+): Result<string, ValueMalformed> {
+  return readMatchingString(value, path, PATH);
+}
+
+export function readSlots(
+  value: unknown,
+  path: string,
+): Result<number, ValueMalformed> {
+  return readInteger(value, path, { minimum: 1, maximum: MAXIMUM_SLOTS });
+}
+
+export function readUnixMilliseconds(
+  value: unknown,
+  path: string,
+): Result<number, ValueMalformed> {
+  return readInteger(value, path, { maximum: MAXIMUM_UNIX_MILLISECONDS });
+}
+
+export function readSequence(
+  value: unknown,
+  path: string,
+): Result<number, ValueMalformed> {
+  return readInteger(value, path, { maximum: MAXIMUM_SEQUENCE });
+}
+
+/** Reads a duration in seconds as milliseconds. */
+export function readSeconds(
+  value: unknown,
+  path: string,
+): Result<number, ValueMalformed> {
+  return readNumber(value, path, { maximum: MAXIMUM_SECONDS })
+    .map((seconds) => seconds * MILLISECONDS_IN_SECOND);
+}
+
+export function readMilliseconds(
+  value: unknown,
+  path: string,
+): Result<number, ValueMalformed> {
+  return readNumber(value, path, {
+    maximum: MAXIMUM_SECONDS * MILLISECONDS_IN_SECOND,
+  });
+}
+
+/** Reads a number of bytes or connections, a weight or a rank. */
+export function readAmount(
+  value: unknown,
+  path: string,
+): Result<number, ValueMalformed> {
+  return readNumber(value, path, { maximum: MAXIMUM_AMOUNT });
+}
