A server whose id cannot be sent in a header is refused

What was seen: the key servers/ followed by letters beyond Latin-1, or by a line break, ends the entry with the first request: the id is sent as the expected server, and Node throws ERR_INVALID_CHAR. An empty id, one with a space and one of 300 characters are taken for servers.

Change: ids are 1 to 200 visible ASCII characters. Of other keys no change is made, not even a removal, as it would name the id to peers.

--- a/packages/kernel/src/foreign_fields.ts
+++ b/packages/kernel/src/foreign_fields.ts
@@ -25,6 +25,11 @@
 const MAXIMUM_SEQUENCE = 1_000_000_000_000;
 const MAXIMUM_AMOUNT = 1_000_000_000_000;
 
+/** An id is sent in headers. */
+const ID = {
+  pattern: /^[!-~]{1,200}$/,
+  expected: "1 to 200 visible ASCII characters",
+};
 const NAME = {
   pattern: /^[^]{1,256}$/,
   expected: "a text of 1 to 256 characters",
@@ -38,6 +43,13 @@
   expected: "a path of visible ASCII characters",
 };
 
+export function readId(
+  value: unknown,
+  path: string,
+): Result<string, ValueMalformed> {
+  return readMatchingString(value, path, ID);
+}
+
 export function readName(
   value: unknown,
   path: string,
