--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -118,6 +118,7 @@
   | {
     event: "discovery-item-refused" | "discovery-item-assumed";
     key: string;
+    revision?: number;
     detail: string;
   }
   | { event: "peer-message-refused"; peer: string; detail: string };
