--- a/packages/kernel/src/field_readers.ts
+++ b/packages/kernel/src/field_readers.ts
@@ -24,7 +24,7 @@
     : shown;
 }
 
-function malformed(path: string, given: unknown, expected: string) {
+export function malformed(path: string, given: unknown, expected: string) {
   return err<never, ValueMalformed>({
     kind: "value-malformed",
     detail: `${path} is ${describe(given)}; expected ${expected}`,
--- a/packages/kernel/src/foreign_fields.ts
+++ b/packages/kernel/src/foreign_fields.ts
@@ -38,6 +38,10 @@
   pattern: IPV4_ADDRESS,
   expected: "an IPv4 address and a port",
 };
+const PATH_PREFIX = {
+  pattern: /^\/(?:[!-~]{0,4094}\/)?$/,
+  expected: "a path of visible ASCII characters that ends with a slash",
+};
 const PATH = {
   pattern: /^\/[!-~]{0,4095}$/,
   expected: "a path of visible ASCII characters",
@@ -71,6 +75,13 @@
   return readMatchingString(value, path, PATH);
 }
 
+export function readPathPrefix(
+  value: unknown,
+  path: string,
+): Result<string, ValueMalformed> {
+  return readMatchingString(value, path, PATH_PREFIX);
+}
+
 export function readSlots(
   value: unknown,
   path: string,
