A request target that is no URL no longer ends the process

What was seen: GET // at the address for lookups, readiness or metrics ends the entry: new URL() throws in the handler (ERR_INVALID_URL). Anybody who reaches the address could do that.

Change: such a target is answered with 400.

--- a/packages/gateway/src/text_server.ts
+++ b/packages/gateway/src/text_server.ts
@@ -2,7 +2,7 @@
  * An HTTP server for GET requests with short answers.
  */
 import { Buffer } from "node:buffer";
-import { createServer } from "node:http";
+import { createServer, type IncomingMessage } from "node:http";
 import type { Address } from "@marigoldford/kernel/types";
 import { listenAt } from "./listen.ts";
 import type { AuxiliaryServer } from "./plug_ins.ts";
@@ -13,17 +13,22 @@
   readonly text?: string;
 };
 
+const BAD_REQUEST: TextAnswer = { status: 400 };
 const NOT_FOUND: TextAnswer = { status: 404 };
+const BASE = "http://entry";
 
 /** Serves GET requests; `answer` gets the URL with its path and query. */
 export function makeTextServer(
   address: Address,
   answer: (url: URL) => TextAnswer | undefined,
 ): AuxiliaryServer {
+  function answerTo({ method, url: target = "/" }: IncomingMessage) {
+    if (!URL.canParse(target, BASE)) return BAD_REQUEST;
+    const url = new URL(target, BASE);
+    return (method === "GET" ? answer(url) : undefined) ?? NOT_FOUND;
+  }
   const server = createServer((request, response) => {
-    const url = new URL(request.url ?? "/", "http://entry");
-    const found = request.method === "GET" ? answer(url) : undefined;
-    const { status, contentType, text = "" } = found ?? NOT_FOUND;
+    const { status, contentType, text = "" } = answerTo(request);
     response.writeHead(status, {
       "content-length": Buffer.byteLength(text),
       ...(contentType === undefined ? {} : { "content-type": contentType }),
