A load header with odd numbers is no load report

Cause: any finite number was taken. Empty, hexadecimal and fractional counts passed as well.

Change: counts are whole decimal numbers, a server has at least one slot, and a slowdown is between 1 and 100,000 percent. Peers' reports say at least a tenth, and those that say nothing for slots or slowdown are skipped.

Evidence: caller_protocol_test.ts and load_codec_test.ts: 12 of their 22 cases failed before, now all pass.

--- a/packages/gateway/src/caller_protocol.ts
+++ b/packages/gateway/src/caller_protocol.ts
@@ -100,6 +100,10 @@
 }
 
 const PERCENT = 100;
+const COUNT = /^\d{1,6}$/;
+const DECIMAL_NUMBER = /^\d{1,6}(\.\d{1,9})?$/;
+/** Beyond these, a figure is a mistake and would mislead every estimate. */
+const SLOWDOWN_PERCENT = { minimum: 1, maximum: 100_000 };
 
 /**
  * Parses `running,waiting,slots[,percent]`; the last number is the current
@@ -107,11 +111,16 @@
  */
 function parseLoad(text: string | undefined): ServerReport | undefined {
   if (text === undefined) return undefined;
-  const numbers = text.split(",").map((part) => Number(part.trim()));
-  if (numbers.length < 3) return undefined;
-  if (numbers.some((number) => !Number.isFinite(number) || number < 0)) {
+  const parts = text.split(",").map((part) => part.trim());
+  const counts = parts.slice(0, 3);
+  if (counts.length < 3 || !counts.every((part) => COUNT.test(part))) {
     return undefined;
   }
-  const [running, waiting, slots, percent = PERCENT] = numbers;
+  const [running, waiting, slots] = counts.map(Number);
+  const percentText = parts[3] ?? String(PERCENT);
+  if (slots < 1 || !DECIMAL_NUMBER.test(percentText)) return undefined;
+  const percent = Number(percentText);
+  const { minimum, maximum } = SLOWDOWN_PERCENT;
+  if (percent < minimum || percent > maximum) return undefined;
   return { running, waiting, slots, slowdown: percent / PERCENT };
 }
--- a/packages/gateway/src/load_codec.ts
+++ b/packages/gateway/src/load_codec.ts
@@ -55,7 +55,7 @@
     buffer.writeUInt8(toByte(report.waiting), at + 5);
     buffer.writeUInt8(toByte(report.slots), at + 6);
     buffer.writeUInt8(
-      toByte(report.slowdown * SLOWDOWN_STEPS_PER_UNIT),
+      Math.max(1, toByte(report.slowdown * SLOWDOWN_STEPS_PER_UNIT)),
       at + 7,
     );
     buffer.writeUInt8(
@@ -66,10 +66,13 @@
   return buffer;
 }
 
+/** Skips reports of no slots, or of a slowdown that costs no time. */
 export function decodeReports(bytes: Uint8Array): TaggedReport[] {
   const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
   const reports: TaggedReport[] = [];
   for (let at = 0; at + REPORT_BYTES <= buffer.byteLength; at += REPORT_BYTES) {
+    if (buffer.readUInt8(at + 6) === 0) continue;
+    if (buffer.readUInt8(at + 7) === 0) continue;
     reports.push({
       tag: buffer.readUInt32BE(at),
       report: {
