Messages of peers are checked field by field

Cause: of a decoded message only its kind was checked. A record without an incarnation, heartbeats that are no bytes, a message without news or changes that are no list throw in the handlers, and nothing catches that (by the code; only the decoders were run). A registration that a peer of another build passes on with port 99999 would have been used here.

A message that cannot be read is rejected as a whole; of a list, the items that cannot be used are left out and logged, and a registration among them takes its server out of use, as at the store.

Messages of this build are read as they were sent.

--- a/packages/gateway/src/datagram_socket.ts
+++ b/packages/gateway/src/datagram_socket.ts
@@ -29,9 +29,12 @@
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes, { address, port }) => {
       const sender = `${address}:${port}`;
-      const datagram = decodeDatagram(bytes);
-      if (datagram.isOk()) options.onDatagram(datagram.value, sender);
-      else options.onUnreadable(sender, datagram.error);
+      const onUnreadable = ({ detail }: { readonly detail: string }) =>
+        options.onUnreadable(sender, { kind: "message-unreadable", detail });
+      decodeDatagram(bytes, onUnreadable).match(
+        (datagram) => options.onDatagram(datagram, sender),
+        onUnreadable,
+      );
     });
     this.#socket.on("error", () => options.onSendFailure(options.address));
   }
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -1,17 +1,37 @@
 /**
  * Messages between entries, encoded with `cbor-x`: small ones are sent in
- * datagrams, larger ones in frames over TCP. A message that cannot be decoded
- * is rejected as a whole.
+ * datagrams, larger ones in frames over TCP.
+ *
+ * Decoded messages are checked field by field. One that cannot be read is
+ * rejected as a whole; of a list, only the items that cannot be used are left
+ * out. Unknown fields are ignored, so that later builds may add some.
  */
 import type { Buffer } from "node:buffer";
 import { decode, encode } from "cbor-x";
-import { err, ok, type Result } from "neverthrow";
+import { err, ok, Result } from "neverthrow";
 import type {
   DiscoveryChange,
   DiscoveryListing,
 } from "@marigoldford/kernel/discovery_state";
+import {
+  type JsonObject,
+  malformed,
+  readArray,
+  readInteger,
+  readNumber,
+  readObject,
+  readOneOf,
+  type ValueMalformed,
+} from "@marigoldford/kernel/field_readers";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
+import {
+  readAddress,
+  readName,
+  readSequence,
+} from "@marigoldford/kernel/foreign_fields";
+import { readChange } from "@marigoldford/kernel/foreign_state";
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
+import type { EntryState } from "@marigoldford/kernel/types";
 
 /** How up to date the sender's discovery state is. */
 export type DiscoveryFreshness = {
@@ -101,15 +121,29 @@
   readonly detail: string;
 };
 
-const DATAGRAM_KINDS = new Set([
+/** Is told why an item of a list is left out of a message. */
+export type OnIgnored = (error: ValueMalformed) => void;
+
+const DATAGRAM_KINDS: readonly FleetDatagram["kind"][] = [
   "members",
   "who",
   "news",
   "load",
   "statements",
   "crash",
-]);
-const FRAME_KINDS = new Set(["changes", "reading-request", "reading"]);
+];
+const FRAME_KINDS: readonly FleetFrame["kind"][] = [
+  "changes",
+  "reading-request",
+  "reading",
+];
+const ENTRY_STATES: readonly EntryState[] = [
+  "starting",
+  "serving",
+  "leaving",
+  "stopped",
+];
+const MAXIMUM_TAG = 0xffffffff;
 
 export function encodeFleetMessage(
   message: FleetDatagram | FleetFrame,
@@ -119,29 +153,203 @@
 
 export function decodeDatagram(
   bytes: Uint8Array,
+  onIgnored: OnIgnored = () => {},
 ): Result<FleetDatagram, MessageUnreadable> {
-  return decodeKind(bytes, DATAGRAM_KINDS).map((value) =>
-    value as FleetDatagram
-  );
+  return decodeObject(bytes).andThen((message) =>
+    Result.combine([
+      readOneOf(message.kind, "kind", DATAGRAM_KINDS),
+      readName(message.from, "from"),
+    ]).andThen(([kind, from]) =>
+      readDatagramFields(kind, message, onIgnored).map((fields) =>
+        ({ ...message, ...fields, kind, from }) as FleetDatagram
+      )
+    )
+  ).mapErr(unreadable);
 }
 
 export function decodeFleetFrame(
   bytes: Uint8Array,
+  onIgnored: OnIgnored = () => {},
 ): Result<FleetFrame, MessageUnreadable> {
-  return decodeKind(bytes, FRAME_KINDS).map((value) => value as FleetFrame);
+  return decodeObject(bytes).andThen((message) =>
+    readOneOf(message.kind, "kind", FRAME_KINDS).andThen((kind) =>
+      readFrameFields(kind, message, onIgnored).map((fields) =>
+        ({ ...message, ...fields, kind }) as FleetFrame
+      )
+    )
+  ).mapErr(unreadable);
 }
 
-function decodeKind(
-  bytes: Uint8Array,
-  kinds: ReadonlySet<string>,
-): Result<unknown, MessageUnreadable> {
-  let value: unknown;
+type Fields = Result<object, ValueMalformed>;
+
+function decodeObject(bytes: Uint8Array): Result<JsonObject, ValueMalformed> {
   try {
-    value = decode(bytes);
+    return readObject(decode(bytes), "message");
   } catch (error) {
-    return err({ kind: "message-unreadable", detail: String(error) });
+    return err({ kind: "value-malformed", detail: String(error) });
+  }
+}
+
+function unreadable({ detail }: ValueMalformed): MessageUnreadable {
+  return { kind: "message-unreadable", detail };
+}
+
+function readDatagramFields(
+  kind: FleetDatagram["kind"],
+  message: JsonObject,
+  onIgnored: OnIgnored,
+): Fields {
+  switch (kind) {
+    case "members":
+      return Result.combine([
+        readUsable(message.records, "records", readMemberRecord, onIgnored),
+        readBytes(message.heartbeats, "heartbeats"),
+        readFreshness(message.news),
+      ]).map(([records, heartbeats, news]) => ({
+        records,
+        heartbeats,
+        news,
+        wantsReply: message.wantsReply === true,
+      }));
+    case "who":
+      return readUsable(message.tags, "tags", readTag, onIgnored)
+        .map((tags) => ({ tags }));
+    case "news":
+      return readFreshness(message.news).map((news) => ({ news }));
+    case "load":
+      return Result.combine([
+        readBytes(message.inFlight, "inFlight"),
+        readBytes(message.reports, "reports"),
+      ]).map(([inFlight, reports]) => ({
+        inFlight,
+        reports,
+        isForDomain: message.isForDomain === true,
+      }));
+    case "statements":
+      // Each statement is checked where it is recorded.
+      return readArray(message.statements, "statements").map((statements) => ({
+        statements,
+        isForDomain: message.isForDomain === true,
+      }));
+    case "crash":
+      return Result.combine([
+        readName(message.fingerprint, "fingerprint"),
+        readName(message.server, "server"),
+      ]).map(([fingerprint, server]) => ({ fingerprint, server }));
+  }
+}
+
+function readFrameFields(
+  kind: FleetFrame["kind"],
+  message: JsonObject,
+  onIgnored: OnIgnored,
+): Fields {
+  switch (kind) {
+    case "changes":
+      return Result.combine([
+        readInteger(message.baseRevision, "baseRevision"),
+        readInteger(message.revision, "revision"),
+        readChanges(message.changes, onIgnored),
+        readAge(message.ageMilliseconds),
+      ]).map(([baseRevision, revision, changes, ageMilliseconds]) => ({
+        baseRevision,
+        revision,
+        changes,
+        ageMilliseconds,
+      }));
+    case "reading-request":
+      return ok({});
+    case "reading":
+      return Result.combine([
+        readListing(message.reading, onIgnored),
+        readAge(message.ageMilliseconds),
+      ]).map(([reading, ageMilliseconds]) => ({ reading, ageMilliseconds }));
   }
-  const kind = (value as { kind?: unknown } | null)?.kind;
-  if (typeof kind === "string" && kinds.has(kind)) return ok(value);
-  return err({ kind: "message-unreadable", detail: `kind ${String(kind)}` });
+}
+
+function readListing(value: unknown, onIgnored: OnIgnored) {
+  return readObject(value, "reading").andThen((reading) =>
+    Result.combine([
+      readInteger(reading.revision, "revision"),
+      readChanges(reading.changes, onIgnored),
+    ]).map(([revision, changes]) => ({ ...reading, revision, changes }))
+  );
+}
+
+function readChanges(value: unknown, onIgnored: OnIgnored) {
+  const read = (change: unknown) => readChange(change, onIgnored);
+  return readUsable(value, "changes", read, onIgnored);
+}
+
+/** Reads a list and leaves out the items that cannot be used. */
+function readUsable<Item>(
+  value: unknown,
+  path: string,
+  readItem: (item: unknown) => Result<Item, ValueMalformed>,
+  onIgnored: OnIgnored,
+): Result<Item[], ValueMalformed> {
+  return readArray(value, path).map((items) =>
+    items.flatMap((item) =>
+      readItem(item).match((usable) => [usable], (error) => {
+        onIgnored(error);
+        return [];
+      })
+    )
+  );
+}
+
+function readFreshness(value: unknown) {
+  return readObject(value, "news").andThen((news) =>
+    Result.combine([
+      readInteger(news.revision, "revision"),
+      readAge(news.ageMilliseconds),
+    ]).map(([revision, ageMilliseconds]) => ({
+      ...news,
+      revision,
+      ageMilliseconds,
+    }))
+  );
+}
+
+/** A state that was never complete is as old as can be. */
+function readAge(value: unknown): Result<number, ValueMalformed> {
+  const maximum = Number.MAX_SAFE_INTEGER;
+  return readNumber(value, "ageMilliseconds", { maximum });
+}
+
+function readMemberRecord(
+  value: unknown,
+): Result<MemberRecord, ValueMalformed> {
+  return readObject(value, "record").andThen((record) =>
+    Result.combine([
+      readName(record.incarnation, "incarnation"),
+      readAddress(record.callAddress, "callAddress"),
+      readAddress(record.meshAddress, "meshAddress"),
+      readAddress(record.datagramAddress, "datagramAddress"),
+      readName(record.failureDomain, "failureDomain"),
+      readOneOf(record.state, "state", ENTRY_STATES),
+      readSequence(record.counter, "counter"),
+    ]).map(([incarnation, call, mesh, datagram, domain, state, counter]) => ({
+      incarnation,
+      callAddress: call,
+      meshAddress: mesh,
+      datagramAddress: datagram,
+      failureDomain: domain,
+      state,
+      counter,
+    }))
+  );
+}
+
+function readTag(value: unknown): Result<number, ValueMalformed> {
+  return readInteger(value, "tag", { maximum: MAXIMUM_TAG });
+}
+
+function readBytes(
+  value: unknown,
+  path: string,
+): Result<Uint8Array, ValueMalformed> {
+  return value instanceof Uint8Array
+    ? ok(value)
+    : malformed(path, value, "bytes");
 }
--- a/packages/gateway/src/frame_connections.ts
+++ b/packages/gateway/src/frame_connections.ts
@@ -83,7 +83,11 @@
       const payloads = decoder.push(chunk);
       if (payloads.isErr()) return this.#reject(socket, payloads.error.kind);
       for (const payload of payloads.value) {
-        const frame = decodeFleetFrame(payload);
+        const frame = decodeFleetFrame(
+          payload,
+          ({ detail }) =>
+            this.#options.onRefused(String(socket.remoteAddress), detail),
+        );
         if (frame.isErr()) return this.#reject(socket, frame.error.detail);
         this.#options.onFrame(
           frame.value,
--- /dev/null
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -0,0 +1,295 @@
+/**
+ * Tests that a message of a peer is used only if all of it can be: a peer of
+ * another build may send fields that this one does not know, or odd ones.
+ */
+import { Buffer } from "node:buffer";
+import { encode } from "cbor-x";
+import fastCheck from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  decodeDatagram,
+  decodeFleetFrame,
+  encodeFleetMessage,
+  type FleetDatagram,
+  type FleetFrame,
+} from "./fleet_messages.ts";
+
+const SEED = 20_261_205;
+const RECORD = {
+  incarnation: "abc",
+  callAddress: "10.0.0.1:80",
+  meshAddress: "10.0.0.1:81",
+  datagramAddress: "10.0.0.1:82",
+  failureDomain: "a",
+  state: "serving",
+  counter: 7,
+} as const;
+const REGISTRATION = {
+  id: "server-1",
+  service: "web",
+  address: "10.0.0.9:80",
+  failureDomain: "a",
+  slots: 4,
+  state: "ready",
+  warmUpLeftMilliseconds: 0,
+  bornAtMilliseconds: 1_700_000_000_000,
+  sequence: 3,
+} as const;
+const SNAPSHOT = {
+  version: 2,
+  routes: [{
+    name: "r",
+    host: "shop.example",
+    pathPrefix: "/a/",
+    kind: "idempotent",
+    timeoutMilliseconds: 1_000,
+    objectiveMilliseconds: 200.5,
+    priority: 1,
+    maximumAttempts: 2,
+    services: [{ service: "web", weight: 1 }],
+  }],
+  services: [{ name: "web", healthPath: "/up", maximumConnections: 10 }],
+  limits: {
+    maximumHeaderBytes: 1_000,
+    maximumBodyBytes: 1_000,
+    headerTimeoutMilliseconds: 1_000,
+    idleTimeoutMilliseconds: 1_000,
+  },
+} as const;
+const NEWS = { revision: 9, ageMilliseconds: 3.5 };
+const BYTES = new Uint8Array(9);
+
+const DATAGRAMS: readonly FleetDatagram[] = [
+  {
+    kind: "members",
+    from: "abc",
+    records: [RECORD],
+    heartbeats: BYTES,
+    news: { revision: 9, ageMilliseconds: Number.MAX_SAFE_INTEGER },
+    wantsReply: true,
+  },
+  { kind: "who", from: "abc", tags: [0, 0xffffffff] },
+  { kind: "news", from: "abc", news: NEWS },
+  {
+    kind: "load",
+    from: "abc",
+    inFlight: BYTES,
+    reports: BYTES,
+    isForDomain: false,
+  },
+  {
+    kind: "statements",
+    from: "abc",
+    statements: [{
+      id: "server-1",
+      bornAtMilliseconds: 1,
+      requestLimit: "none",
+      ageMilliseconds: 2,
+    }, {
+      id: "server-2",
+      bornAtMilliseconds: 1,
+      requestLimit: 1.5,
+      ageMilliseconds: 2,
+    }],
+    isForDomain: true,
+  },
+  { kind: "crash", from: "abc", fingerprint: "f", server: "10.0.0.9:80" },
+];
+const CHANGES = [
+  { kind: "snapshot", snapshot: SNAPSHOT },
+  { kind: "registration", revision: 5, registration: REGISTRATION },
+  { kind: "gone", revision: 6, id: "server-2", reason: "removed" },
+] as const;
+const FRAMES: readonly FleetFrame[] = [
+  {
+    kind: "changes",
+    baseRevision: 4,
+    revision: 9,
+    changes: CHANGES,
+    ageMilliseconds: 0,
+    isListing: true,
+    isForDomain: true,
+  },
+  { kind: "reading-request" },
+  {
+    kind: "reading",
+    reading: { revision: 9, changes: CHANGES },
+    ageMilliseconds: 12,
+  },
+];
+
+function nest(depth: number): Buffer {
+  // An array of one element, again and again.
+  return Buffer.alloc(depth, 0x81);
+}
+
+describe("a message of this build", () => {
+  it.each(DATAGRAMS)("($kind) is read as it was sent", (datagram) => {
+    expect(decodeDatagram(encodeFleetMessage(datagram))._unsafeUnwrap())
+      .toEqual(datagram);
+  });
+
+  it.each(FRAMES)("($kind) is read as it was sent", (frame) => {
+    expect(decodeFleetFrame(encodeFleetMessage(frame))._unsafeUnwrap())
+      .toEqual(frame);
+  });
+
+  it("may have fields of later builds", () => {
+    const later = { ...DATAGRAMS[2], more: { nested: [1] } };
+    expect(decodeDatagram(encode(later)).isOk()).toBe(true);
+  });
+});
+
+const odd = fastCheck.oneof(
+  fastCheck.constantFrom(
+    undefined,
+    null,
+    "",
+    -1,
+    NaN,
+    Infinity,
+    1e300,
+    "10.0.0.1:99999",
+    "10.0.0.1",
+    {},
+    [],
+    [null],
+    [7],
+  ),
+  fastCheck.anything({ maxDepth: 2 }),
+);
+
+/** Paths of all fields of a value. */
+function pathsOf(value: unknown): (string | number)[][] {
+  if (typeof value !== "object" || value === null) return [];
+  if (value instanceof Uint8Array) return [];
+  return Object.entries(value).flatMap(([key, field]) => [
+    [key],
+    ...pathsOf(field).map((path) => [key, ...path]),
+  ]);
+}
+
+function replaced(
+  value: unknown,
+  [key, ...rest]: readonly (string | number)[],
+  field: unknown,
+): unknown {
+  const copy = Array.isArray(value) ? [...value] : { ...value as object };
+  const fields = copy as Record<string | number, unknown>;
+  fields[key] = rest.length === 0 ? field : replaced(fields[key], rest, field);
+  return copy;
+}
+
+describe("an odd message", () => {
+  it("of a datagram never throws, and all addresses in it can be used", () => {
+    const cases = DATAGRAMS.flatMap((datagram) =>
+      pathsOf(datagram).map((path) => ({ datagram, path }))
+    );
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.constantFrom(...cases),
+        odd,
+        ({ datagram, path }, field) => {
+          const bytes = encode(replaced(datagram, path, field));
+          const result = decodeDatagram(bytes);
+          if (result.isErr()) {
+            expect(result.error.detail.length).toBeLessThan(500);
+          } else expectUsable(result.value);
+        },
+      ),
+      { seed: SEED, numRuns: 2_000 },
+    );
+  });
+
+  it("of a frame never throws, and all it changes can be used", () => {
+    const cases = FRAMES.flatMap((frame) =>
+      pathsOf(frame).map((path) => ({ frame, path }))
+    );
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.constantFrom(...cases),
+        odd,
+        ({ frame, path }, field) => {
+          const bytes = encode(replaced(frame, path, field));
+          const result = decodeFleetFrame(bytes);
+          if (result.isErr()) {
+            expect(result.error.detail.length).toBeLessThan(500);
+          } else expectUsable(result.value);
+        },
+      ),
+      { seed: SEED, numRuns: 2_000 },
+    );
+  });
+
+  it("nested deeply is refused", () => {
+    for (const depth of [10, 1_000, 60_000, 4_000_000]) {
+      expect(decodeDatagram(nest(depth)).isErr()).toBe(true);
+      expect(decodeFleetFrame(nest(depth)).isErr()).toBe(true);
+    }
+  });
+});
+
+function expectUsable(message: FleetDatagram | FleetFrame): void {
+  switch (message.kind) {
+    case "members":
+      for (const record of message.records) {
+        expect(record.datagramAddress).toMatch(/^10\.0\.0\.1:8\d$/);
+        expect(record.meshAddress).toMatch(/^10\.0\.0\.1:8\d$/);
+        expect(typeof record.incarnation).toBe("string");
+        expect(Number.isSafeInteger(record.counter)).toBe(true);
+      }
+      expect(message.heartbeats).toBeInstanceOf(Uint8Array);
+      expect(Number.isSafeInteger(message.news.revision)).toBe(true);
+      return;
+    case "who":
+      return message.tags.forEach((tag) => expect(tag).toBeTypeOf("number"));
+    case "load":
+      expect(message.inFlight).toBeInstanceOf(Uint8Array);
+      expect(message.reports).toBeInstanceOf(Uint8Array);
+      return;
+    case "changes":
+      return expectUsableChanges(message.changes);
+    case "reading":
+      expect(Number.isSafeInteger(message.reading.revision)).toBe(true);
+      return expectUsableChanges(message.reading.changes);
+    default:
+      return;
+  }
+}
+
+function expectUsableChanges(
+  changes: Extract<FleetFrame, { kind: "changes" }>["changes"],
+): void {
+  for (const change of changes) {
+    if (change.kind === "registration") {
+      expect(change.registration.address).toMatch(/^10\.0\.0\.[19]:80$/);
+      expect(change.registration.slots).toBeGreaterThan(0);
+      expect(change.registration.id).toMatch(/^[!-~]+$/);
+    }
+    if (change.kind !== "snapshot") continue;
+    for (const route of change.snapshot.routes) {
+      expect(route.services.length).toBeGreaterThan(0);
+      expect(route.timeoutMilliseconds).toBeLessThan(2 ** 31);
+    }
+  }
+}
+
+it("a registration that cannot be used takes the server out of use", () => {
+  const registration = { ...REGISTRATION, address: "10.0.0.9:99999" };
+  const frame = {
+    ...FRAMES[0],
+    isListing: false,
+    changes: [
+      { kind: "registration", revision: 5, registration },
+      { kind: "snapshot", snapshot: { ...SNAPSHOT, routes: 7 } },
+      { kind: "later" },
+      CHANGES[2],
+    ],
+  };
+  expect(decodeFleetFrame(encode(frame))._unsafeUnwrap()).toMatchObject({
+    changes: [
+      { kind: "gone", revision: 5, id: "server-1", reason: "unreadable" },
+      CHANGES[2],
+    ],
+  });
+});
