An exception while the discovery service's answer is read does not end the loop

The loop that follows the service is awaited by nobody, so an exception in it ended the process, or left an entry that follows nothing. An exception in a call of the service now counts as a failure like others: it is logged as discovery-lost, and after a pause everything is listed anew. It is the last line of defence; the readers are meant to return errors.

Evidence: discovery_synchronizer_test.ts; its new case failed before with an unhandled rejection, now all 13 pass.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -4,6 +4,7 @@
  * these peers.
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { err, type Result } from "neverthrow";
 import {
   type DiscoveryChange,
   type DiscoveryListing,
@@ -260,7 +261,7 @@
   async #readAll(
     baseRevision: number,
   ): Promise<DiscoveryFailure | undefined> {
-    const listing = await this.#options.source.readAll();
+    const listing = await this.#ask((source) => source.readAll());
     if (listing.isErr()) return listing.error;
     this.#mustReadAll = false;
     this.#applyUpdate(() =>
@@ -274,8 +275,10 @@
     baseRevision: number,
     waitMilliseconds: number,
   ): Promise<DiscoveryFailure | undefined> {
-    const { source, settings } = this.#options;
-    const answer = await source.watch(baseRevision, waitMilliseconds);
+    const { settings } = this.#options;
+    const answer = await this.#ask((source) =>
+      source.watch(baseRevision, waitMilliseconds)
+    );
     if (answer.isErr()) return answer.error;
     const { changes, revision } = answer.value;
     this.#applyUpdate(() => this.state.apply(changes, revision, this.#now()));
@@ -284,6 +287,23 @@
     return undefined;
   }
 
+  /**
+   * Calls the service. Nothing that it answers may end the loop: an exception
+   * while an answer is read counts as a failure, after which all is read anew.
+   */
+  async #ask<Answer>(
+    call: (
+      source: DiscoverySource,
+    ) => Promise<Result<Answer, DiscoveryFailure>>,
+  ): Promise<Result<Answer, DiscoveryFailure>> {
+    try {
+      return await call(this.#options.source);
+    } catch (error) {
+      this.#mustReadAll = true;
+      return err({ kind: "malformed", detail: `exception: ${String(error)}` });
+    }
+  }
+
   #onSuccess(update: DiscoveryUpdate): void {
     this.#failuresInRow = 0;
     this.#confirm(0);
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -214,6 +214,23 @@
     synchronizer.stop();
   });
 
+  it("goes on after an answer whose reading throws, and lists again", async () => {
+    const { service, synchronizer, events } = setUp();
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    const watch = service.watch.bind(service);
+    service.watch = () => Promise.reject(new RangeError("stack exceeded"));
+    await advance(2_000);
+    expect(events).toContain("discovery-lost");
+    expect(service.reads).toBeGreaterThan(1);
+    service.watch = watch;
+    service.revision = 2;
+    service.changes = [registration("two", 2)];
+    await advance(2_500);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    synchronizer.stop();
+  });
+
   it("keeps servers that expired in an outage for a while", async () => {
     const { service, synchronizer } = setUp();
     synchronizer.start();
