An empty deadline of a caller is no deadline of zero

An empty deadline header was read as 0, and the request answered with 504 before it was sent. A deadline that is no decimal number says nothing, and the route's timeout counts. odd_heads_test.ts: an empty and a blank deadline failed before. Its other cases (deadlines, server limits, Keep-Alive and Retry-After that are no numbers or too large) passed before and pass now.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -44,6 +44,7 @@
 };
 
 const STARTING_RETRY_AFTER_SECONDS = 0.5;
+const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 
 export function admit(
   context: ExchangeContext,
@@ -85,16 +86,15 @@
   });
 }
 
-/** The shorter of the caller's deadline and the route's timeout. */
+/** The shorter of the caller's deadline, if it is a number, and the timeout. */
 function timeLimitOf(
   { protocol }: ExchangeContext,
   request: IncomingMessage,
   { timeoutMilliseconds }: SnapshotRoute,
 ): number {
-  const text = headerValue(request, protocol.headers.deadline);
-  const deadline = Number(text ?? NaN);
-  return Number.isFinite(deadline) && deadline >= 0
-    ? Math.min(deadline, timeoutMilliseconds)
+  const text = headerValue(request, protocol.headers.deadline) ?? "";
+  return DECIMAL_NUMBER.test(text)
+    ? Math.min(Number(text), timeoutMilliseconds)
     : timeoutMilliseconds;
 }
 
