Daemons refuse addresses that cannot be connected to, from sheets and peers

The mesh took any text of up to 512 characters for an address, and a sheet any digits for an IPv4 host.

--- a/packages/kernel/src/address.ts
+++ b/packages/kernel/src/address.ts
@@ -12,6 +12,11 @@
   `^${OCTET}(?:\\.${OCTET}){3}:${PORT}$`,
 );
 
+/** Like `IPV4_ADDRESS`, or an IPv6 address in brackets with a port. */
+export const IP_ADDRESS = new RegExp(
+  `^(?:${OCTET}(?:\\.${OCTET}){3}|\\[[0-9a-f:]{2,39}\\]):${PORT}$`,
+);
+
 export type HostAndPort = { readonly host: string; readonly port: number };
 
 /** Splits `host:port`; the brackets of an IPv6 host are removed. */
--- a/packages/kernel/src/sheet_row.ts
+++ b/packages/kernel/src/sheet_row.ts
@@ -3,6 +3,7 @@
  */
 import { createHash } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
+import { IP_ADDRESS } from "./address.ts";
 import {
   BUDGET_NAMES,
   type BudgetName,
@@ -46,11 +47,9 @@
 type CellResult<Value> = Result<Value, CellFault>;
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/;
-const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-f:]+\]):(\d{1,5})$/;
 const METHOD_PATTERN = /^[A-Z]{0,16}$/;
 const MAXIMUM_REVISION = 1_000_000_000;
 const MAXIMUM_COUNT = 1_000_000;
-const MAXIMUM_PORT = 65_535;
 const MAXIMUM_LIMIT_VALUE = 3_600_000;
 
 /** Parses one row; reports every invalid cell, not only the first. */
@@ -230,9 +229,7 @@
 }
 
 function readAddress(given: string): CellResult<string> {
-  const parts = ADDRESS_PATTERN.exec(given);
-  const port = Number(parts?.[2]);
-  if (parts !== null && port >= 1 && port <= MAXIMUM_PORT) return ok(given);
+  if (IP_ADDRESS.test(given)) return ok(given);
   const expected = "an IP address and a port, such as 127.0.0.1:8080";
   return err({ column: "address", given, expected });
 }
--- a/packages/mesh/src/messages.ts
+++ b/packages/mesh/src/messages.ts
@@ -4,6 +4,7 @@
  * add fields.
  */
 import * as Schema from "effect/Schema";
+import { IP_ADDRESS } from "@marigoldford/kernel/address";
 import { BUDGET_NAMES, LIMIT_NAMES } from "@marigoldford/kernel/intention";
 
 export const MESH_VERSION = 1;
@@ -13,6 +14,8 @@
 const MAXIMUM_LIST_ITEMS = 20_000;
 
 const Name = Schema.String.check(Schema.isMaxLength(MAXIMUM_NAME_CHARACTERS));
+/** Addresses to connect to. */
+const Address = Schema.String.check(Schema.isPattern(IP_ADDRESS));
 const Count = Schema.Int.check(
   Schema.isBetween({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER }),
 );
@@ -24,8 +27,8 @@
 
 const EntryRecordSchema = Schema.Struct({
   incarnation: Name,
-  callAddress: Name,
-  meshAddress: Name,
+  callAddress: Address,
+  meshAddress: Address,
   failureDomain: Name,
   keyPrefix: Name,
   issue: Count,
@@ -68,7 +71,7 @@
   Schema.Struct({
     kind: Schema.Literal("backend-server"),
     service: Name,
-    address: Name,
+    address: Address,
     failureDomain: Name,
     slots: Count,
     connections: Count,
@@ -81,7 +84,7 @@
       Schema.isMaxLength(MAXIMUM_PATH_CHARACTERS),
     ),
   }),
-  Schema.Struct({ kind: Schema.Literal("retiring"), address: Name }),
+  Schema.Struct({ kind: Schema.Literal("retiring"), address: Address }),
   Schema.Struct({
     kind: Schema.Literal("limit"),
     service: Name,
