One odd value or instance of the platform hides no other from a daemon

Values and instances were decoded as one list: one with a missing field or a role of another writer made the whole answer malformed, so that no change took effect as long as it stayed.

--- a/packages/configuration_service/src/platform_client.ts
+++ b/packages/configuration_service/src/platform_client.ts
@@ -12,34 +12,38 @@
 import { err, ok, type Result } from "neverthrow";
 import * as Schema from "effect/Schema";
 import * as EffectResult from "effect/Result";
+import { Logger } from "@marigoldford/logger/logger";
 
 const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
 const ValuesSchema = Schema.Struct({
   version: Schema.Int,
-  values: Schema.Array(
-    Schema.Struct({
-      name: Schema.String,
-      version: Schema.Int,
-      value: Schema.String,
-    }),
-  ),
+  values: Schema.Array(Schema.Unknown),
+});
+
+const ValueSchema = Schema.Struct({
+  name: Schema.String,
+  version: Schema.Int,
+  value: Schema.String,
 });
 
 const InstancesSchema = Schema.Struct({
-  instances: Schema.Array(
-    Schema.Struct({
-      address: Schema.String,
-      role: Schema.Literals(["entry", "backend-server"]),
-      state: Schema.Literals(["live", "leaving"]),
-      failureDomain: Schema.String,
-      meshAddress: Schema.optionalKey(Schema.String),
-    }),
-  ),
+  instances: Schema.Array(Schema.Unknown),
+});
+
+const InstanceSchema = Schema.Struct({
+  address: Schema.String,
+  role: Schema.Literals(["entry", "backend-server"]),
+  state: Schema.Literals(["live", "leaving"]),
+  failureDomain: Schema.String,
+  meshAddress: Schema.optionalKey(Schema.String),
 });
 
-export type PlatformValues = typeof ValuesSchema.Type;
-export type PlatformInstance = typeof InstancesSchema.Type["instances"][number];
+export type PlatformValues = {
+  readonly version: number;
+  readonly values: readonly (typeof ValueSchema.Type)[];
+};
+export type PlatformInstance = typeof InstanceSchema.Type;
 
 export type PlatformFailure =
   | { readonly kind: "platform-unreachable"; readonly detail: string }
@@ -53,7 +57,10 @@
 };
 
 const decodeValues = Schema.decodeUnknownResult(ValuesSchema);
+const decodeValue = Schema.decodeUnknownResult(ValueSchema);
 const decodeInstances = Schema.decodeUnknownResult(InstancesSchema);
+const decodeInstance = Schema.decodeUnknownResult(InstanceSchema);
+const LOG = new Logger("platform");
 
 /** Waits for a version newer than `after`. */
 type Watch = { readonly after: number; readonly waitMilliseconds: number };
@@ -85,8 +92,11 @@
     const body = await this.#getJson(`/values?${query}`, waitMilliseconds);
     if (body.isErr()) return err(body.error);
     const decoded = decodeValues(body.value);
-    if (EffectResult.isSuccess(decoded)) return ok(decoded.success);
-    return err(malformedAnswer(String(decoded.failure)));
+    if (EffectResult.isFailure(decoded)) {
+      return err(malformedAnswer(String(decoded.failure)));
+    }
+    const { version, values } = decoded.success;
+    return ok({ version, values: decodeEach(values, decodeValue) });
   }
 
   async readInstances(): Promise<
@@ -95,8 +105,10 @@
     const body = await this.#getJson("/instances", 0);
     if (body.isErr()) return err(body.error);
     const decoded = decodeInstances(body.value);
-    if (EffectResult.isSuccess(decoded)) return ok(decoded.success.instances);
-    return err(malformedAnswer(String(decoded.failure)));
+    if (EffectResult.isFailure(decoded)) {
+      return err(malformedAnswer(String(decoded.failure)));
+    }
+    return ok(decodeEach(decoded.success.instances, decodeInstance));
   }
 
   close(): void {
@@ -129,6 +141,19 @@
   }
 }
 
+/** Leaves out the items that cannot be read; they cost the others nothing. */
+function decodeEach<Item>(
+  items: readonly unknown[],
+  decodeItem: (item: unknown) => EffectResult.Result<Item, unknown>,
+): Item[] {
+  return items.flatMap((item) => {
+    const decoded = decodeItem(item);
+    if (EffectResult.isSuccess(decoded)) return [decoded.success];
+    LOG.write("item-refused", () => malformedAnswer(String(decoded.failure)));
+    return [];
+  });
+}
+
 async function parseAnswer(
   response: IncomingMessage,
 ): Promise<Result<unknown, PlatformFailure>> {
