--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -47,6 +47,7 @@
 const STARTING_RETRY_AFTER_SECONDS = 0.5;
 /** Characters that Node's parser accepts in a path, but its client rejects. */
 const MALFORMED_PATH = /[^\u0021-\u00ff]/;
+const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 
 export function admit(
   context: ExchangeContext,
@@ -100,14 +101,13 @@
     context.services.estimatesOf(route).recordCallerTimeout(deadline);
 }
 
-/** Time that the caller waits; undefined if it does not say so. */
+/** Time that the caller waits; undefined if it names no number. */
 function callerDeadlineOf(
   { protocol }: ExchangeContext,
   request: IncomingMessage,
 ): number | undefined {
-  const text = headerValue(request, protocol.headers.deadline);
-  const deadline = Number(text ?? NaN);
-  return Number.isFinite(deadline) && deadline >= 0 ? deadline : undefined;
+  const text = headerValue(request, protocol.headers.deadline) ?? "";
+  return DECIMAL_NUMBER.test(text) ? Number(text) : undefined;
 }
 
 /** The shorter of the caller's deadline and the route's timeout. */
--- a/platform/src/json_fields.ts
+++ b/packages/kernel/src/field_readers.ts
@@ -1,5 +1,5 @@
 /**
- * Reads fields of decoded JSON and checks their types.
+ * Reads fields of decoded values that others wrote, and checks their types.
  */
 import { err, ok, type Result } from "neverthrow";
 
@@ -11,11 +11,23 @@
 
 export type JsonObject = Readonly<Record<string, unknown>>;
 
-function malformed(path: string, given: unknown, expected: string) {
-  const text = JSON.stringify(given)?.slice(0, 80);
+const MAXIMUM_SHOWN_CHARACTERS = 80;
+
+/** Never recurses, as values may be nested more deeply than the stack is. */
+function describe(value: unknown): string {
+  if (Array.isArray(value)) return `an array of ${value.length}`;
+  if (typeof value === "object" && value !== null) return "an object";
+  if (typeof value !== "string") return String(value);
+  const shown = JSON.stringify(value.slice(0, MAXIMUM_SHOWN_CHARACTERS));
+  return value.length > MAXIMUM_SHOWN_CHARACTERS
+    ? `${shown} and ${value.length - MAXIMUM_SHOWN_CHARACTERS} characters more`
+    : shown;
+}
+
+export function malformed(path: string, given: unknown, expected: string) {
   return err<never, ValueMalformed>({
     kind: "value-malformed",
-    detail: `${path} is ${text}; expected ${expected}`,
+    detail: `${path} is ${describe(given)}; expected ${expected}`,
   });
 }
 
@@ -55,27 +67,45 @@
     : malformed(path, value, expected);
 }
 
-/** Reads a finite number that is not below `minimum`. */
+/** Both ends are allowed. */
+export type NumberRange = {
+  /** 0 if it is left out. */
+  readonly minimum?: number;
+  readonly maximum?: number;
+};
+
+/** Reads a finite number in a range. */
 export function readNumber(
   value: unknown,
   path: string,
-  minimum = 0,
+  range: NumberRange = {},
 ): Result<number, ValueMalformed> {
-  return typeof value === "number" && Number.isFinite(value) && value >= minimum
+  return isInRange(value, range)
     ? ok(value)
-    : malformed(path, value, `a number of ${minimum} or more`);
+    : malformed(path, value, `a number ${describeRange(range)}`);
 }
 
 export function readInteger(
   value: unknown,
   path: string,
-  minimum = 0,
+  range: NumberRange = {},
 ): Result<number, ValueMalformed> {
-  return readNumber(value, path, minimum).andThen((number) =>
-    Number.isSafeInteger(number)
-      ? ok(number)
-      : malformed(path, value, "an integer")
-  );
+  return isInRange(value, range) && Number.isSafeInteger(value)
+    ? ok(value)
+    : malformed(path, value, `an integer ${describeRange(range)}`);
+}
+
+function isInRange(
+  value: unknown,
+  { minimum = 0, maximum = Number.MAX_VALUE }: NumberRange,
+): value is number {
+  return typeof value === "number" && value >= minimum && value <= maximum;
+}
+
+function describeRange({ minimum = 0, maximum }: NumberRange): string {
+  return maximum === undefined
+    ? `of ${minimum} or more`
+    : `from ${minimum} to ${maximum}`;
 }
 
 export function readOneOf<Option extends string>(
