Discovery: log when the store was restored from a copy

The log of an entry showed that its history was gone, again and again, but not that the store is an older copy of what it was. Nothing is decided by it yet.

--- a/packages/gateway/src/discovery_source.ts
+++ b/packages/gateway/src/discovery_source.ts
@@ -26,6 +26,8 @@
 };
 
 export type DiscoveryChanges = {
+  /** Counts how often the service was restored from a copy, if known. */
+  readonly era?: number;
   readonly changes: readonly DiscoveryChange[];
   /** The changes are complete up to this revision. */
   readonly revision: number;
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -31,6 +31,8 @@
 };
 
 export type DiscoveryUpdate = {
+  /** The era of both revisions, if known. */
+  readonly era?: number;
   readonly baseRevision: number;
   readonly revision: number;
   readonly changes: readonly DiscoveryChange[];
@@ -80,6 +82,7 @@
   #isStopped = false;
   #isWatching = false;
   #isServiceLost = false;
+  #era = 0;
   #failuresInRow = 0;
   #mustReadAll = true;
   /** After it has taken over, this entry watches until this time. */
@@ -99,6 +102,7 @@
   get freshness(): DiscoveryFreshness {
     const age = Math.round(this.stateAgeMilliseconds);
     return {
+      era: this.#era,
       revision: this.state.revision,
       ageMilliseconds: Number.isFinite(age) ? age : Number.MAX_SAFE_INTEGER,
     };
@@ -119,6 +123,7 @@
 
   /** Applies a complete listing from a peer unless it is older. */
   applyPeerListing(listing: DiscoveryListing, ageMilliseconds: number): void {
+    this.#recordEra(listing, "peer");
     if (listing.revision < this.state.revision) return;
     if (listing.revision === this.state.revision) {
       return this.#confirm(ageMilliseconds);
@@ -133,6 +138,7 @@
       this.applyPeerListing(update, ageMilliseconds);
       return true;
     }
+    this.#recordEra(update, "peer");
     if (update.baseRevision > this.state.revision) return false;
     this.#applyUpdate(() =>
       this.state.apply(update.changes, update.revision, this.#now())
@@ -143,6 +149,7 @@
 
   /** Records how fresh a peer's state is; false if it is ahead of this one. */
   recordPeerFreshness(freshness: DiscoveryFreshness): boolean {
+    this.#recordEra(freshness, "peer");
     if (freshness.revision > this.state.revision) return false;
     if (freshness.revision === this.state.revision && freshness.revision > 0) {
       this.#confirm(freshness.ageMilliseconds);
@@ -169,6 +176,27 @@
     );
   }
 
+  #recordEra(
+    { era, revision }: { readonly era?: number; readonly revision: number },
+    from: "service" | "peer",
+  ): void {
+    if (era === undefined || era <= this.#era) return;
+    const previousEra = this.#era;
+    this.#era = era;
+    if (this.state.revision === 0) return;
+    this.#options.writeEvent({
+      event: "discovery-era-changed",
+      from,
+      era,
+      previousEra,
+      revision,
+      previousRevision: this.state.revision,
+      ageMilliseconds: Math.round(
+        Math.min(this.stateAgeMilliseconds, Number.MAX_SAFE_INTEGER),
+      ),
+    });
+  }
+
   #now(): number {
     return this.#options.clock();
   }
@@ -262,6 +290,7 @@
   ): Promise<DiscoveryFailure | undefined> {
     const listing = await this.#options.source.readAll();
     if (listing.isErr()) return listing.error;
+    this.#recordEra(listing.value, "service");
     this.#mustReadAll = false;
     this.#applyUpdate(() =>
       this.state.applyListing(listing.value, this.#now())
@@ -277,9 +306,10 @@
     const { source, settings } = this.#options;
     const answer = await source.watch(baseRevision, waitMilliseconds);
     if (answer.isErr()) return answer.error;
-    const { changes, revision } = answer.value;
+    const { era, changes, revision } = answer.value;
+    this.#recordEra(answer.value, "service");
     this.#applyUpdate(() => this.state.apply(changes, revision, this.#now()));
-    this.#onSuccess({ baseRevision, revision, changes });
+    this.#onSuccess({ era, baseRevision, revision, changes });
     if (changes.length > 0) await sleep(settings.batchDelayMilliseconds);
     return undefined;
   }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -50,6 +50,18 @@
     revision: number;
   }
   | { event: "history-reread"; reason: string; revision: number }
+  | {
+    event: "discovery-era-changed";
+    /** Whether the discovery service or a peer told of it first. */
+    from: "service" | "peer";
+    era: number;
+    previousEra: number;
+    revision: number;
+    previousRevision: number;
+    /** Age of the state that the change of era replaces. */
+    ageMilliseconds: number;
+  }
+  | { event: "discovery-era-refused"; detail: string }
   | { event: "pause-noticed"; milliseconds: number }
   | (PlacementInputs & {
     event: "attempt-started";
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -15,6 +15,8 @@
 
 /** How up to date the sender's discovery state is. */
 export type DiscoveryFreshness = {
+  /** Missing in messages of entries that know no eras. */
+  readonly era?: number;
   readonly revision: number;
   /** Time since the state was last known to be complete. */
   readonly ageMilliseconds: number;
@@ -79,6 +81,8 @@
 export type FleetFrame =
   | {
     readonly kind: "changes";
+    /** Missing in messages of entries that know no eras. */
+    readonly era?: number;
     readonly baseRevision: number;
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -35,6 +35,8 @@
 
 /** Complete contents of the discovery service at a revision. */
 export type DiscoveryListing = {
+  /** Counts how often the service was restored from a copy, if known. */
+  readonly era?: number;
   readonly revision: number;
   readonly changes: readonly DiscoveryChange[];
 };
