--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -1,7 +1,7 @@
 /**
- * Tests that an entry keeps its discovery state through refusals, outages and a
- * lost history of the service, and calls the service itself when its peers no
- * longer send updates. Timers and the discovery service are fakes.
+ * Tests that an entry keeps its discovery state through refusals, outages, a
+ * lost history of the service and its return from a copy, and calls the service
+ * itself when its peers no longer send updates. Timers and the discovery service are fakes.
  */
 import { err, ok, type Result } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
@@ -27,23 +27,27 @@
   calls = 0;
   reads = 0;
   revision = 1;
+  era: number | undefined;
   changes: DiscoveryChange[] = [];
 
   async readAll() {
     this.reads += 1;
     return await this.#answer(4, () => ({
+      era: this.era,
       revision: this.revision,
       changes: this.changes,
     }));
   }
 
   async watch(after: number, wait: number) {
+    if (after > this.revision) return await this.#historyGone();
     const hasChanges = () => this.revision > after;
     for (let waited = 0; waited < wait && !hasChanges(); waited += 20) {
       await new Promise((resolve) => setTimeout(resolve, 20));
       if (this.behaviour !== "answering") break;
     }
     return await this.#answer(4, () => ({
+      era: this.era,
       revision: this.revision,
       changes: hasChanges() ? this.changes : [],
     }));
@@ -51,6 +55,12 @@
 
   close(): void {}
 
+  async #historyGone(): Promise<Result<never, DiscoveryFailure>> {
+    this.calls += 1;
+    await new Promise((resolve) => setTimeout(resolve, 4));
+    return err({ kind: "history-gone", detail: "beyond the last revision" });
+  }
+
   async #answer<Value>(
     milliseconds: number,
     make: () => Value,
@@ -337,3 +347,170 @@
     for (const synchronizer of synchronizers) synchronizer.stop();
   });
 });
+
+describe("an entry whose service was restored from a copy", () => {
+  /** The entry has seen revision 40 of era 1. */
+  async function setUpRestored() {
+    const fixture = setUp();
+    const { service, synchronizer } = fixture;
+    service.era = 1;
+    service.revision = 40;
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    service.era = 2;
+    return fixture;
+  }
+
+  it("lists once and continues from the copy's revision", async () => {
+    const { service, synchronizer, updates, events } = await setUpRestored();
+    service.revision = 10;
+    await advance(3_000);
+    expect(service.reads).toBe(2);
+    expect(synchronizer.freshness).toMatchObject({ era: 2, revision: 10 });
+    expect(synchronizer.stateAgeMilliseconds).toBeLessThan(1_250);
+    expect(events).toContain("discovery-era-changed");
+    service.revision = 11;
+    service.changes = [registration("two", 11)];
+    await advance(100);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    expect(updates.at(-1)).toMatchObject({
+      era: 2,
+      baseRevision: 10,
+      revision: 11,
+    });
+    synchronizer.stop();
+  });
+
+  it("lists everything when the revisions have passed its own", async () => {
+    const { service, synchronizer } = await setUpRestored();
+    service.revision = 50;
+    service.changes = [registration("two", 30), registration("three", 50)];
+    await advance(300);
+    expect(service.reads).toBe(2);
+    expect([...synchronizer.state.records.keys()]).toEqual(
+      expect.arrayContaining(["two", "three"]),
+    );
+    synchronizer.stop();
+  });
+
+  it("lists everything when the same revision was given out again", async () => {
+    const { service, synchronizer } = await setUpRestored();
+    service.changes = [registration("two", 40)];
+    await advance(1_500);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    synchronizer.stop();
+  });
+
+  it("is not confirmed by an answer of the era before", async () => {
+    const { service, synchronizer } = await setUpRestored();
+    service.revision = 10;
+    await advance(1_000);
+    service.era = 1;
+    service.revision = 45;
+    service.changes = [registration("late", 45)];
+    await advance(3_000);
+    expect(synchronizer.state.records.has("late")).toBe(false);
+    expect(synchronizer.stateAgeMilliseconds).toBeGreaterThan(2_000);
+    service.era = 2;
+    service.revision = 11;
+    service.changes = [registration("two", 11)];
+    await advance(2_000);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    synchronizer.stop();
+  });
+
+  it("goes on as before if the era is no longer told", async () => {
+    const { service, synchronizer } = await setUpRestored();
+    service.era = undefined;
+    service.revision = 41;
+    service.changes = [registration("two", 41)];
+    await advance(100);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    expect(service.reads).toBe(1);
+    synchronizer.stop();
+  });
+});
+
+describe("an entry that learns from peers of a restored service", () => {
+  const inEra = (era: number | undefined, revision: number) => ({
+    era,
+    revision,
+    changes: [registration(`server-${revision}`, revision)],
+  });
+
+  function setUpSecondEra(): DiscoverySynchronizer {
+    const { synchronizer } = setUp();
+    synchronizer.applyPeerListing(inEra(1, 40), 0);
+    synchronizer.applyPeerListing(inEra(2, 10), 0);
+    return synchronizer;
+  }
+
+  it("takes a listing of a lower revision in the new era", () => {
+    const synchronizer = setUpSecondEra();
+    expect(synchronizer.freshness).toMatchObject({ era: 2, revision: 10 });
+    expect(synchronizer.state.records.has("server-10")).toBe(true);
+  });
+
+  it("takes changes of the new era only onto a state of that era", () => {
+    const { synchronizer } = setUp();
+    synchronizer.applyPeerListing(inEra(1, 40), 0);
+    const update = { ...inEra(2, 11), baseRevision: 10 };
+    expect(synchronizer.applyPeerUpdate(update, 0)).toBe(false);
+    expect(synchronizer.state.records.has("server-11")).toBe(false);
+    const second = setUpSecondEra();
+    expect(second.applyPeerUpdate(update, 0)).toBe(true);
+    expect(second.state.records.has("server-11")).toBe(true);
+  });
+
+  it("is behind a peer with a lower revision of a later era", () => {
+    const { synchronizer } = setUp();
+    synchronizer.applyPeerListing(inEra(1, 40), 0);
+    const ahead = { era: 2, revision: 10, ageMilliseconds: 0 };
+    expect(synchronizer.recordPeerFreshness(ahead)).toBe(false);
+  });
+
+  for (const era of [1, undefined]) {
+    it(`takes nothing that is of ${era ?? "an unknown"} era`, async () => {
+      const synchronizer = setUpSecondEra();
+      await advance(1_000);
+      const old = { era, revision: 60, ageMilliseconds: 0 };
+      expect(synchronizer.recordPeerFreshness(old)).toBe(true);
+      synchronizer.applyPeerListing(inEra(era, 61), 0);
+      const update = { ...inEra(era, 62), baseRevision: 10 };
+      expect(synchronizer.applyPeerUpdate(update, 0)).toBe(true);
+      const same = { ...inEra(era, 10), baseRevision: 10 };
+      expect(synchronizer.applyPeerUpdate(same, 0)).toBe(true);
+      expect(synchronizer.freshness).toMatchObject({ era: 2, revision: 10 });
+      expect(synchronizer.state.records.has("server-61")).toBe(false);
+      expect(synchronizer.state.records.has("server-62")).toBe(false);
+      expect(synchronizer.stateAgeMilliseconds).toBe(1_000);
+    });
+  }
+});
+
+describe("a fleet whose service was restored from a copy", () => {
+  const names = Array.from({ length: 40 }, (_, index) => `entry-${index}`);
+
+  it("gets a change that follows within two seconds, for few calls", async () => {
+    const { service, synchronizers } = setUpFleet(names);
+    service.era = 1;
+    service.revision = 40;
+    await advance(5_000);
+    service.behaviour = "unreachable";
+    await advance(2_000);
+    service.era = 2;
+    service.revision = 10;
+    service.behaviour = "answering";
+    service.calls = 0;
+    await advance(3_000);
+    service.revision = 11;
+    service.changes = [registration("two", 11)];
+    await advance(2_000);
+    const uninformed = synchronizers.filter(({ state }) =>
+      !state.records.has("two")
+    );
+    expect(uninformed).toHaveLength(0);
+    expect(service.calls).toBeLessThan(4 * names.length);
+    for (const synchronizer of synchronizers) synchronizer.stop();
+  });
+});
--- a/packages/kernel/src/discovery_state_test.ts
+++ b/packages/kernel/src/discovery_state_test.ts
@@ -1,6 +1,7 @@
 /**
- * Tests of changes and listings that arrive late, repeatedly or out of order:
- * none may bring back a server that is draining or was removed.
+ * Tests of changes and listings that arrive late, repeatedly or out of order,
+ * or from an older copy of the discovery service: none may bring back a server
+ * that is draining or was removed.
  */
 import { describe, expect, it } from "vitest";
 import { makeRegistration } from "./__fixtures__/registration.ts";
@@ -124,3 +125,143 @@
     expect(state.records.get("one")?.registration.sequence).toBe(2);
   });
 });
+
+describe("DiscoveryState after the service was restored from a copy", () => {
+  const COPY_REVISION = 10;
+
+  /** A state of the first era with the server at revision 20. */
+  function makeOldState(fields: Partial<ServerRegistration> = {}) {
+    const state = makeState();
+    const changes = [registered({ sequence: 5, ...fields }, 20)];
+    state.applyListing({ era: 1, revision: 20, changes }, 0);
+    return state;
+  }
+
+  function restore(
+    state: DiscoveryState,
+    changes: readonly DiscoveryChange[],
+    now: number,
+    era = 2,
+  ): void {
+    state.applyListing({ era, revision: COPY_REVISION, changes }, now);
+  }
+
+  it("applies changes whose revisions were given out before", () => {
+    const state = makeOldState();
+    restore(state, [registered({ sequence: 2 }, 9)], 0);
+    expect(state.revision).toBe(COPY_REVISION);
+    state.apply([registered({ sequence: 6, slots: 7 }, 11)], 11, 0);
+    expect(state.records.get("one")?.registration.slots).toBe(7);
+    expect(state.revision).toBe(11);
+  });
+
+  it("removes a server at a revision that was given out before", () => {
+    const state = makeOldState();
+    restore(state, [registered({ sequence: 2 }, 9)], 0);
+    state.apply([removed(11)], 11, 10_000);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("ignores a listing of the era before that arrives late", () => {
+    const state = makeOldState();
+    restore(state, [registered({ sequence: 2 }, 9)], 0);
+    const changes = [registered({ id: "two" }, 30)];
+    state.applyListing({ era: 1, revision: 30, changes }, 0);
+    expect([...state.records.keys()]).toEqual(["one"]);
+    expect(state.revision).toBe(COPY_REVISION);
+  });
+
+  it("takes a listing without an era for one of before", () => {
+    const state = makeOldState();
+    state.applyListing({ revision: 30, changes: [] }, 0);
+    expect(stateOf(state)).toBe("ready");
+  });
+
+  it("keeps what a server said last if the copy has an older state", () => {
+    const state = makeOldState({ sequence: 7, state: "draining" });
+    restore(state, [registered({ sequence: 5 }, 9)], 0);
+    expect(stateOf(state)).toBe("draining");
+    state.apply([registered({ sequence: 6 }, 11)], 11, 0);
+    expect(stateOf(state)).toBe("draining");
+  });
+
+  it("keeps a draining server that the copy lacks from being used", () => {
+    const state = makeOldState({ sequence: 7, state: "draining" });
+    restore(state, [], 0);
+    expect(stateOf(state)).toBeUndefined();
+    restore(state, [registered({ sequence: 5 }, 9)], 0, 3);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("rejects a server that was removed and that the copy still has", () => {
+    const state = makeOldState();
+    state.apply([removed(21)], 21, 0);
+    for (const era of [2, 3]) {
+      restore(state, [registered({ sequence: 5 }, 9)], 0, era);
+      expect(stateOf(state)).toBeUndefined();
+    }
+  });
+
+  it("accepts a removed server that registers again or started anew", () => {
+    for (
+      const fields of [{ sequence: 6 }, {
+        sequence: 1,
+        bornAtMilliseconds: 9_000,
+      }]
+    ) {
+      const state = makeOldState();
+      state.apply([removed(21)], 21, 0);
+      restore(state, [], 0);
+      state.apply([registered(fields, 11)], 11, 0);
+      expect(stateOf(state)).toBe("ready");
+      state.apply([removed(12)], 12, 10_000);
+      expect(stateOf(state)).toBeUndefined();
+    }
+  });
+
+  it("keeps a server that the copy lacks for the grace period", () => {
+    const state = makeOldState();
+    restore(state, [], 1_000);
+    expect(stateOf(state)).toBe("ready");
+    expect(state.dropExpired(2_900)).toEqual([]);
+    expect(state.dropExpired(3_000)).toEqual(["one"]);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("keeps a server that writes again what the copy lacks", () => {
+    const state = makeOldState();
+    restore(state, [], 1_000);
+    state.apply([registered({ sequence: 5 }, 11)], 11, 2_000);
+    expect(state.dropExpired(10_000)).toEqual([]);
+    expect(stateOf(state)).toBe("ready");
+  });
+
+  it("extends the grace period when it is restored once more", () => {
+    const state = makeOldState();
+    restore(state, [], 1_000);
+    restore(state, [], 2_500, 3);
+    expect(state.dropExpired(4_400)).toEqual([]);
+    state.apply([registered({ sequence: 5 }, 11)], 11, 4_400);
+    expect(state.dropExpired(10_000)).toEqual([]);
+    expect(stateOf(state)).toBe("ready");
+  });
+
+  it("does not pass on servers that it keeps for the grace period", () => {
+    const state = makeOldState();
+    restore(state, [], 1_000);
+    const starting = makeState();
+    starting.applyListing(state.listing(), 1_500);
+    expect([...starting.records.keys()]).toEqual([]);
+    expect(starting.revision).toBe(COPY_REVISION);
+  });
+
+  it("passes on the last state of a server that the copy has older", () => {
+    const state = makeOldState({ sequence: 7, state: "draining" });
+    restore(state, [registered({ sequence: 5 }, 9)], 0);
+    const starting = makeState();
+    starting.applyListing(state.listing(), 0);
+    expect(stateOf(starting)).toBe("draining");
+    starting.apply([removed(11)], 11, 0);
+    expect(stateOf(starting)).toBeUndefined();
+  });
+});
