Discovery: order by era and revision, so that a restored service is followed

Callers saw: after the store came back from an older copy, a configuration that it acknowledged was in force at no entry (404 on its routes), and the fleet sent whole states to each other until the store's revisions had caught up.

Cause: a revision was taken for a position in one history that only grows. A restored store gives revisions out again. An entry kept its higher revision, asked for what comes after it, got 410, listed, kept its revision, and so on; what had a revision up to its own counted as late.

Change: a position is the pair of era and revision, ordered by the era first (kernel/discovery_position.ts). A state is of one era. What is known of the servers stays as far as their own start and sequence are newer than the copy's: a draining server stays draining, one that the copy lacks is kept for the grace period, one that was removed comes back only with something newer or once its entry has outlived a lease. The listings of a new era are spread, and one that peers have sent already is not read or sent again. Messages without an era count as of the lowest one; answers without one count as of the current era, as before.

--- a/packages/gateway/src/discovery_source.ts
+++ b/packages/gateway/src/discovery_source.ts
@@ -3,6 +3,7 @@
  * long poll for the changes after a revision.
  */
 import type { Result } from "neverthrow";
+import type { ToldPosition } from "@marigoldford/kernel/discovery_position";
 import type {
   DiscoveryChange,
   DiscoveryListing,
@@ -14,6 +15,7 @@
  * - `timed-out`: connected, but no answer within the timeout.
  * - `history-gone`: the service no longer has the changes after the revision.
  * - `malformed`: the answer could not be parsed.
+ * - `outdated`: the answer is of an era of the service that has ended.
  */
 export type DiscoveryFailure = {
   readonly kind:
@@ -21,21 +23,24 @@
     | "unreachable"
     | "timed-out"
     | "history-gone"
-    | "malformed";
+    | "malformed"
+    | "outdated";
   readonly detail: string;
+  /** The era that the answer named, if any. */
+  readonly era?: number;
 };
 
-export type DiscoveryChanges = {
-  /** Counts how often the service was restored from a copy, if known. */
-  readonly era?: number;
+/** Changes that are complete up to the position. */
+export type DiscoveryChanges = ToldPosition & {
   readonly changes: readonly DiscoveryChange[];
-  /** The changes are complete up to this revision. */
-  readonly revision: number;
 };
 
 export type DiscoverySource = {
   readonly readAll: () => Promise<Result<DiscoveryListing, DiscoveryFailure>>;
-  /** Resolves on the first change, or without changes after the wait. */
+  /**
+   * Resolves on the first change, or without changes after the wait. The answer
+   * may be of another era than the revision.
+   */
   readonly watch: (
     afterRevision: number,
     waitMilliseconds: number,
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -4,11 +4,20 @@
  * these peers.
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import {
+  comparePositions,
+  type DiscoveryPosition,
+  positionOf,
+} from "@marigoldford/kernel/discovery_position";
 import {
   type DiscoveryChange,
   type DiscoveryListing,
   DiscoveryState,
 } from "@marigoldford/kernel/discovery_state";
+import {
+  isBehind,
+  type StateProgress,
+} from "@marigoldford/kernel/missing_revision";
 import { watcherReason } from "@marigoldford/kernel/watcher_selection";
 import type { Clock, RandomSource } from "@marigoldford/kernel/types";
 import type { DiscoveryFailure, DiscoverySource } from "./discovery_source.ts";
@@ -73,6 +82,16 @@
 const START_CHECK_MILLISECONDS = 15;
 const MINIMUM_BACKOFF_MILLISECONDS = 100;
 const MAXIMUM_BACKOFF_MILLISECONDS = 800;
+/**
+ * All watching entries notice a restored service at the same time. Their
+ * listings are spread over this time, the chosen entries first, so that the
+ * first listing reaches the others before they read one.
+ */
+const CHOSEN_SPREAD_MILLISECONDS = 100;
+const ACTING_SPREAD_MILLISECONDS = 400;
+
+type Teller = "service" | "peer";
+type ReadReason = "chosen" | "news-too-old";
 
 export class DiscoverySynchronizer {
   readonly state: DiscoveryState;
@@ -82,7 +101,6 @@
   #isStopped = false;
   #isWatching = false;
   #isServiceLost = false;
-  #era = 0;
   #failuresInRow = 0;
   #mustReadAll = true;
   /** After it has taken over, this entry watches until this time. */
@@ -99,11 +117,17 @@
     return this.#options.clock() - this.#confirmedAtMilliseconds;
   }
 
+  get progress(): StateProgress {
+    return {
+      ...this.state.position,
+      snapshotVersion: this.state.snapshot?.version ?? 0,
+    };
+  }
+
   get freshness(): DiscoveryFreshness {
     const age = Math.round(this.stateAgeMilliseconds);
     return {
-      era: this.#era,
-      revision: this.state.revision,
+      ...this.progress,
       ageMilliseconds: Number.isFinite(age) ? age : Number.MAX_SAFE_INTEGER,
     };
   }
@@ -121,15 +145,17 @@
     this.#options.source.close();
   }
 
-  /** Applies a complete listing from a peer unless it is older. */
+  /** Applies a complete listing from a peer; of an older one the snapshot. */
   applyPeerListing(listing: DiscoveryListing, ageMilliseconds: number): void {
-    this.#recordEra(listing, "peer");
-    if (listing.revision < this.state.revision) return;
-    if (listing.revision === this.state.revision) {
-      return this.#confirm(ageMilliseconds);
+    const order = comparePositions(positionOf(listing), this.state.position);
+    if (order <= 0) this.#applySnapshots(listing.changes);
+    else {
+      this.#applyUpdate(
+        "peer",
+        () => this.state.applyListing(listing, this.#now()),
+      );
     }
-    this.#applyUpdate(() => this.state.applyListing(listing, this.#now()));
-    this.#confirm(ageMilliseconds);
+    if (order >= 0) this.#confirm(ageMilliseconds);
   }
 
   /** Applies changes from a peer; false if earlier changes are missing. */
@@ -138,10 +164,15 @@
       this.applyPeerListing(update, ageMilliseconds);
       return true;
     }
-    this.#recordEra(update, "peer");
+    const { era } = positionOf(update);
+    if (era !== this.state.era) {
+      this.#applySnapshots(update.changes);
+      return era < this.state.era;
+    }
     if (update.baseRevision > this.state.revision) return false;
-    this.#applyUpdate(() =>
-      this.state.apply(update.changes, update.revision, this.#now())
+    this.#applyUpdate(
+      "peer",
+      () => this.state.apply(update.changes, update.revision, this.#now()),
     );
     if (this.state.revision <= update.revision) this.#confirm(ageMilliseconds);
     return true;
@@ -149,12 +180,13 @@
 
   /** Records how fresh a peer's state is; false if it is ahead of this one. */
   recordPeerFreshness(freshness: DiscoveryFreshness): boolean {
-    this.#recordEra(freshness, "peer");
-    if (freshness.revision > this.state.revision) return false;
-    if (freshness.revision === this.state.revision && freshness.revision > 0) {
+    const position = positionOf(freshness);
+    const order = comparePositions(position, this.state.position);
+    if (order === 0 && position.revision > 0) {
       this.#confirm(freshness.ageMilliseconds);
     }
-    return true;
+    const { snapshotVersion = 0 } = freshness;
+    return !isBehind(this.progress, { ...position, snapshotVersion });
   }
 
   /** Called after the process was paused, when the state may be outdated. */
@@ -162,39 +194,21 @@
     this.#confirmedAtMilliseconds = -Infinity;
   }
 
-  /** Drops servers that did not register again in time after an outage. */
-  dropExpired(): void {
-    const dropped = this.state.dropExpired(this.#now());
-    if (dropped.length === 0) return;
-    this.#options.onChange(
-      dropped.map((id) => ({
-        kind: "gone",
-        id,
-        reason: "removed",
-        revision: this.state.revision,
-      })),
-    );
-  }
-
-  #recordEra(
-    { era, revision }: { readonly era?: number; readonly revision: number },
-    from: "service" | "peer",
-  ): void {
-    if (era === undefined || era <= this.#era) return;
-    const previousEra = this.#era;
-    this.#era = era;
-    if (this.state.revision === 0) return;
-    this.#options.writeEvent({
-      event: "discovery-era-changed",
-      from,
-      era,
-      previousEra,
-      revision,
-      previousRevision: this.state.revision,
-      ageMilliseconds: Math.round(
-        Math.min(this.stateAgeMilliseconds, Number.MAX_SAFE_INTEGER),
-      ),
-    });
+  /**
+   * Drops servers that did not register again in time after an outage, and adds
+   * those that turned out to renew a registration that was removed before.
+   */
+  settleProvisional(): void {
+    const dropped = this.state.dropExpired(this.#now()).map((
+      id,
+    ): DiscoveryChange => ({
+      kind: "gone",
+      id,
+      reason: "removed",
+      revision: this.state.revision,
+    }));
+    const changes = [...dropped, ...this.state.applyRenewed(this.#now())];
+    if (changes.length > 0) this.#options.onChange(changes);
   }
 
   #now(): number {
@@ -217,12 +231,34 @@
     });
   }
 
-  #applyUpdate(apply: () => DiscoveryChange[]): void {
-    const isFirst = this.state.revision === 0;
+  #applyUpdate(from: Teller, apply: () => DiscoveryChange[]): void {
+    const previous = this.state.position;
+    const isFirst = previous.revision === 0;
     if (!isFirst && this.stateAgeMilliseconds > OUTAGE_MILLISECONDS) {
       this.state.recordRecovery(this.#now());
     }
     const changes = apply();
+    if (!isFirst && this.state.era !== previous.era) {
+      this.#logEraChange(from, previous);
+    }
+    if (changes.length > 0) this.#options.onChange(changes);
+  }
+
+  #logEraChange(from: Teller, previous: DiscoveryPosition): void {
+    this.#options.writeEvent({
+      event: "discovery-era-changed",
+      from,
+      ...this.state.position,
+      previousEra: previous.era,
+      previousRevision: previous.revision,
+      ageMilliseconds: Math.round(
+        Math.min(this.stateAgeMilliseconds, Number.MAX_SAFE_INTEGER),
+      ),
+    });
+  }
+
+  #applySnapshots(updates: readonly DiscoveryChange[]): void {
+    const changes = this.state.applySnapshots(updates);
     if (changes.length > 0) this.#options.onChange(changes);
   }
 
@@ -266,49 +302,72 @@
     });
   }
 
-  async #readOnce(reason: "chosen" | "news-too-old"): Promise<void> {
+  async #readOnce(reason: ReadReason): Promise<void> {
     const { settings } = this.#options;
-    const baseRevision = this.state.revision;
+    const base = this.state.position;
     // An old state is first confirmed or replaced at once.
     const isFresh = this.stateAgeMilliseconds <
       settings.maximumStateAgeMilliseconds;
-    const failure = this.#mustReadAll || baseRevision === 0
-      ? await this.#readAll(baseRevision)
+    const failure = this.#mustReadAll || base.revision === 0
+      ? await this.#readAll(base)
       : await this.#watch(
-        baseRevision,
+        base,
         reason === "chosen" || isFresh ? settings.watchWaitMilliseconds : 0,
       );
     this.#options.onServiceCall(failure?.kind ?? "answered");
-    if (failure !== undefined) return await this.#onFailure(failure);
-    const hadState = baseRevision > 0;
+    if (failure !== undefined) return await this.#onFailure(failure, reason);
+    const hadState = base.revision > 0;
     if (!hadState || isFresh || reason === "chosen") return;
     this.#actingUntilMilliseconds = this.#now() + ACTING_MILLISECONDS;
   }
 
+  /** An answer without an era counts as one of the current era. */
   async #readAll(
-    baseRevision: number,
+    base: DiscoveryPosition,
   ): Promise<DiscoveryFailure | undefined> {
-    const listing = await this.#options.source.readAll();
-    if (listing.isErr()) return listing.error;
-    this.#recordEra(listing.value, "service");
+    const answer = await this.#options.source.readAll();
+    if (answer.isErr()) return answer.error;
+    const { era = this.state.era, revision, changes } = answer.value;
+    if (era < this.state.era) {
+      this.#applySnapshots(changes);
+      return outdated(era);
+    }
     this.#mustReadAll = false;
-    this.#applyUpdate(() =>
-      this.state.applyListing(listing.value, this.#now())
+    const listing = { era, revision, changes };
+    const isKnown = comparePositions(listing, this.state.position) === 0;
+    this.#applyUpdate(
+      "service",
+      () => this.state.applyListing(listing, this.#now()),
+    );
+    const baseRevision = base.revision;
+    this.#onSuccess(
+      isKnown
+        ? { era, baseRevision: revision, revision, changes: [] }
+        : { ...listing, baseRevision, isListing: true },
     );
-    this.#onSuccess({ baseRevision, ...listing.value, isListing: true });
     return undefined;
   }
 
   async #watch(
-    baseRevision: number,
+    base: DiscoveryPosition,
     waitMilliseconds: number,
   ): Promise<DiscoveryFailure | undefined> {
     const { source, settings } = this.#options;
-    const answer = await source.watch(baseRevision, waitMilliseconds);
+    const answer = await source.watch(base.revision, waitMilliseconds);
     if (answer.isErr()) return answer.error;
-    const { era, changes, revision } = answer.value;
-    this.#recordEra(answer.value, "service");
-    this.#applyUpdate(() => this.state.apply(changes, revision, this.#now()));
+    const { era = base.era, changes, revision } = answer.value;
+    if (era !== base.era || era !== this.state.era) {
+      this.#applySnapshots(changes);
+      if (era < base.era) return outdated(era);
+      if (era <= this.state.era) return undefined;
+      const detail = `a watch of era ${base.era} answered in era ${era}`;
+      return { kind: "history-gone", detail, era };
+    }
+    this.#applyUpdate(
+      "service",
+      () => this.state.apply(changes, revision, this.#now()),
+    );
+    const baseRevision = base.revision;
     this.#onSuccess({ era, baseRevision, revision, changes });
     if (changes.length > 0) await sleep(settings.batchDelayMilliseconds);
     return undefined;
@@ -320,7 +379,10 @@
     this.#options.onUpdate(update);
   }
 
-  async #onFailure(failure: DiscoveryFailure): Promise<void> {
+  async #onFailure(
+    failure: DiscoveryFailure,
+    reason: ReadReason,
+  ): Promise<void> {
     if (failure.kind === "history-gone") {
       this.#mustReadAll = true;
       this.#options.writeEvent({
@@ -328,7 +390,7 @@
         reason: failure.detail,
         revision: this.state.revision,
       });
-      return;
+      return await this.#awaitPeerListing(failure.era, reason);
     }
     this.#failuresInRow += 1;
     this.#recordLoss(failure);
@@ -340,6 +402,20 @@
     await sleep(backoffMilliseconds * (0.75 + this.#options.random() / 2));
   }
 
+  /** Gives peers time to send a listing of the era that has begun, if any. */
+  async #awaitPeerListing(
+    era: number | undefined,
+    reason: ReadReason,
+  ): Promise<void> {
+    if (era === undefined || era <= this.state.era) return;
+    const spreadMilliseconds = reason === "chosen"
+      ? CHOSEN_SPREAD_MILLISECONDS
+      : ACTING_SPREAD_MILLISECONDS;
+    const delay = reason === "chosen" ? 0 : CHOSEN_SPREAD_MILLISECONDS;
+    await sleep(delay + spreadMilliseconds * this.#options.random());
+    if (this.state.era >= era) this.#mustReadAll = false;
+  }
+
   #recordLoss(failure: DiscoveryFailure): void {
     if (this.#isServiceLost) return;
     this.#isServiceLost = true;
@@ -353,3 +429,7 @@
     });
   }
 }
+
+function outdated(era: number): DiscoveryFailure {
+  return { kind: "outdated", detail: `an answer of era ${era}`, era };
+}
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -236,10 +236,10 @@
       { kind: "gone", id: "one", revision: 5, reason: "removed" },
     ];
     await advance(1_500);
-    synchronizer.dropExpired();
+    synchronizer.settleProvisional();
     expect(synchronizer.state.records.has("one")).toBe(true);
     await advance(2_500);
-    synchronizer.dropExpired();
+    synchronizer.settleProvisional();
     expect(synchronizer.state.records.has("one")).toBe(false);
     synchronizer.stop();
   });
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -6,6 +6,7 @@
 import type { Buffer } from "node:buffer";
 import { decode, encode } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import type { ToldPosition } from "@marigoldford/kernel/discovery_position";
 import type {
   DiscoveryChange,
   DiscoveryListing,
@@ -14,10 +15,9 @@
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 
 /** How up to date the sender's discovery state is. */
-export type DiscoveryFreshness = {
-  /** Missing in messages of entries that know no eras. */
-  readonly era?: number;
-  readonly revision: number;
+export type DiscoveryFreshness = ToldPosition & {
+  /** Version of the sender's snapshot; earlier builds do not tell it. */
+  readonly snapshotVersion?: number;
   /** Time since the state was last known to be complete. */
   readonly ageMilliseconds: number;
 };
@@ -81,7 +81,7 @@
 export type FleetFrame =
   | {
     readonly kind: "changes";
-    /** Missing in messages of entries that know no eras. */
+    /** The era of both revisions; earlier builds do not tell it. */
     readonly era?: number;
     readonly baseRevision: number;
     readonly revision: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,11 +7,18 @@
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
 import { splitAddress } from "@marigoldford/kernel/address";
+import {
+  comparePositions,
+  positionOf,
+} from "@marigoldford/kernel/discovery_position";
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import { entriesForCaller } from "@marigoldford/kernel/entries_for_caller";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import { isAcceptedWhileLeaving } from "@marigoldford/kernel/leaving_admission";
-import { MissingRevision } from "@marigoldford/kernel/missing_revision";
+import {
+  MissingRevision,
+  type StateProgress,
+} from "@marigoldford/kernel/missing_revision";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
 import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
@@ -31,7 +38,11 @@
 import { makeEventWriter, type WriteEvent } from "./events.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import { FleetMembership } from "./fleet_membership.ts";
-import type { FleetDatagram, FleetFrame } from "./fleet_messages.ts";
+import type {
+  DiscoveryFreshness,
+  FleetDatagram,
+  FleetFrame,
+} from "./fleet_messages.ts";
 import { FrameConnections, type FrameReply } from "./frame_connections.ts";
 import { CallServer } from "./call_server.ts";
 import { LoadExchange } from "./load_exchange.ts";
@@ -526,7 +537,8 @@
   /** Forwards changes to the own failure domain, unless it has them already. */
   #relayChanges(frame: Extract<FleetFrame, { kind: "changes" }>): void {
     if (!frame.isForDomain) return;
-    if (frame.revision <= this.#discovery.state.revision) return;
+    const { position } = this.#discovery.state;
+    if (comparePositions(positionOf(frame), position) <= 0) return;
     const peers = this.#fleet.members.livePeers();
     this.#sendFrame(
       peersInDomain(peers, this.#options.instance.failureDomain),
@@ -563,14 +575,15 @@
   }
 
   #recordPeerFreshness(
-    freshness: { revision: number; ageMilliseconds: number },
+    freshness: DiscoveryFreshness,
     sender: Address,
   ): void {
     if (this.#discovery.recordPeerFreshness(freshness)) return;
     const { port } = splitAddress(this.#options.instance.meshAddress);
     const { host } = splitAddress(sender);
+    const { snapshotVersion = 0 } = freshness;
     this.#requestListing(
-      freshness.revision,
+      { ...positionOf(freshness), snapshotVersion },
       () =>
         this.#frameConnections.send(`${host}:${port}`, {
           kind: "reading-request",
@@ -579,9 +592,9 @@
   }
 
   /** Requests a listing unless it, or the missing changes, are on their way. */
-  #requestListing(peerRevision: number, send: () => void): void {
-    const { revision } = this.#discovery.state;
-    if (!this.#missingRevision.mustRequest(peerRevision, revision)) return;
+  #requestListing(peer: StateProgress, send: () => void): void {
+    const { progress } = this.#discovery;
+    if (!this.#missingRevision.mustRequest(peer, progress)) return;
     const elapsed = this.#clock() - this.#listingRequestedAt;
     if (elapsed < LISTING_REQUEST_INTERVAL_MILLISECONDS) return;
     this.#listingRequestedAt = this.#clock();
@@ -594,7 +607,7 @@
         this.#relayChanges(frame);
         if (!this.#discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
           this.#requestListing(
-            frame.revision,
+            { ...positionOf(frame), snapshotVersion: 0 },
             () => reply({ kind: "reading-request" }),
           );
         }
@@ -616,7 +629,7 @@
   }
 
   #housekeep(): void {
-    this.#discovery.dropExpired();
+    this.#discovery.settleProvisional();
     this.#servers.closeExpiredConnections();
     if (!this.#pauseDetector.recordTick() && !this.#hasClockJumped()) return;
     this.#writeEvent({
@@ -668,6 +681,7 @@
       limited_servers: this.#countLimitedServers(),
       peers: this.#fleet.members.livePeers().length,
       configuration_version: this.#router.snapshot?.version ?? 0,
+      discovery_era: this.#discovery.state.era,
       discovery_revision: this.#discovery.state.revision,
       discovery_news_age_milliseconds:
         this.#discovery.freshness.ageMilliseconds,
--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -11,7 +11,17 @@
  * - Registrations expire while the servers cannot reach the discovery service.
  *   Those that are missing after such an outage are kept provisionally and
  *   dropped unless they are renewed within a grace period.
+ * - Revisions belong to one era of the service, which ends when the service is
+ *   restored from an older copy. With the first listing of a new era, all that
+ *   is known of the eras before stays only as far as the servers' own
+ *   sequences, and the snapshot's version, are newer than the copy's.
  */
+import {
+  type DiscoveryPosition,
+  positionOf,
+  type ToldPosition,
+  UNKNOWN_ERA,
+} from "./discovery_position.ts";
 import type {
   RoutingSnapshot,
   ServerRegistration,
@@ -29,15 +39,15 @@
     readonly kind: "gone";
     readonly revision: number;
     readonly id: string;
-    /** `unreadable`: the item exists but describes no usable server. */
-    readonly reason: "removed" | "unreadable";
+    /**
+     * - `unreadable`: the item exists but describes no usable server.
+     * - `lost`: the service was restored from a copy without the item.
+     */
+    readonly reason: "removed" | "unreadable" | "lost";
   };
 
 /** Complete contents of the discovery service at a revision. */
-export type DiscoveryListing = {
-  /** Counts how often the service was restored from a copy, if known. */
-  readonly era?: number;
-  readonly revision: number;
+export type DiscoveryListing = ToldPosition & {
   readonly changes: readonly DiscoveryChange[];
 };
 
@@ -53,12 +63,28 @@
   readonly outageGraceMilliseconds: number;
 };
 
+type Registered = Extract<DiscoveryChange, { kind: "registration" }>;
+type Gone = Extract<DiscoveryChange, { kind: "gone" }>;
+
 type LastRegistration = {
   readonly born: number;
   readonly sequence: number;
+  readonly state: ServerRegistration["state"];
   readonly revision: number;
+  /** The era in which this registration was removed or dropped, if it was. */
+  readonly removedInEra?: number;
+};
+
+/** A registration that was removed in an earlier era, found in a copy. */
+type WithheldRegistration = {
+  readonly change: Registered;
+  readonly untilMilliseconds: number;
 };
 
+/** What is known of earlier eras counts as older than any revision. */
+const BEFORE_FIRST_REVISION = 0;
+/** A registration that its server does not renew expires sooner. */
+const WITHHELD_MILLISECONDS = 6_000;
 /** Maximum number of ids that are remembered to reject late writes. */
 const MAXIMUM_REMEMBERED_IDS = 5_000;
 
@@ -66,7 +92,9 @@
   readonly #options: DiscoveryStateOptions;
   readonly #records = new Map<string, ServerRecord>();
   readonly #lastRegistrations = new Map<string, LastRegistration>();
+  readonly #withheld = new Map<string, WithheldRegistration>();
   #snapshot: RoutingSnapshot | undefined;
+  #era = UNKNOWN_ERA;
   #revision = 0;
   #graceUntilMilliseconds = -Infinity;
 
@@ -74,6 +102,15 @@
     this.#options = options;
   }
 
+  get position(): DiscoveryPosition {
+    return { era: this.#era, revision: this.#revision };
+  }
+
+  get era(): number {
+    return this.#era;
+  }
+
+  /** The last revision of the current era. */
   get revision(): number {
     return this.#revision;
   }
@@ -92,8 +129,9 @@
   }
 
   /**
-   * Applies changes up to `revision`; returns those that had an effect. The
-   * state is complete up to its own revision, so older changes are late.
+   * Applies changes of the current era up to `revision`; returns those that had
+   * an effect. The state is complete up to its own revision, so older changes
+   * are late.
    */
   apply(
     changes: readonly DiscoveryChange[],
@@ -116,8 +154,26 @@
     return applied;
   }
 
-  /** Applies a complete listing; removes the servers that it does not hold. */
+  /** Applies only the snapshots, which their versions order in all eras. */
+  applySnapshots(changes: readonly DiscoveryChange[]): DiscoveryChange[] {
+    return changes.filter((change) =>
+      change.kind === "snapshot" && this.#applySnapshot(change.snapshot)
+    );
+  }
+
+  /**
+   * Applies a complete listing; removes the servers that it does not hold. Of a
+   * listing of an earlier era only the snapshot is applied.
+   */
   applyListing(listing: DiscoveryListing, now: number): DiscoveryChange[] {
+    const { era } = positionOf(listing);
+    const isFirst = this.#revision === 0;
+    if (!isFirst && era < this.#era) {
+      return this.applySnapshots(listing.changes);
+    }
+    const isNewEra = !isFirst && era > this.#era;
+    if (isNewEra) this.#leaveEra(now);
+    this.#era = era;
     const present = new Set<string>();
     for (const change of listing.changes) {
       if (change.kind === "registration") present.add(change.registration.id);
@@ -128,10 +184,13 @@
       missing.push({
         kind: "gone",
         id,
-        reason: "removed",
+        reason: isNewEra ? "lost" : "removed",
         revision: listing.revision,
       });
     }
+    for (const id of this.#withheld.keys()) {
+      if (!present.has(id)) this.#withheld.delete(id);
+    }
     return this.#applyAll(
       [...missing, ...listing.changes],
       listing.revision,
@@ -148,21 +207,67 @@
       const until = record.provisionalUntilMilliseconds;
       if (until === undefined || until > now) continue;
       this.#records.delete(id);
+      this.#recordRemoval(id);
       dropped.push(id);
     }
     return dropped;
   }
 
-  /** The complete state, as a listing that a peer can apply. */
+  /**
+   * Applies withheld registrations that the service still holds after the time
+   * in which they would have expired; returns them.
+   */
+  applyRenewed(now: number): DiscoveryChange[] {
+    const renewed: DiscoveryChange[] = [];
+    for (const [id, { change, untilMilliseconds }] of this.#withheld) {
+      if (untilMilliseconds > now) continue;
+      this.#accept(change.registration, change.revision);
+      renewed.push(change);
+      this.#withheld.delete(id);
+    }
+    return renewed;
+  }
+
+  /**
+   * What the service holds, as a listing that a peer can apply, with the newer
+   * state of servers where the service has an older one. Provisional records
+   * are not among it.
+   */
   listing(): DiscoveryListing {
     const changes: DiscoveryChange[] = [];
     if (this.#snapshot !== undefined) {
       changes.push({ kind: "snapshot", snapshot: this.#snapshot });
     }
-    for (const { registration, revision } of this.#records.values()) {
+    for (const record of this.#records.values()) {
+      const { registration, revision, provisionalUntilMilliseconds } = record;
+      if (provisionalUntilMilliseconds !== undefined) continue;
       changes.push({ kind: "registration", registration, revision });
     }
-    return { revision: this.#revision, changes };
+    for (const { change } of this.#withheld.values()) changes.push(change);
+    return { ...this.position, changes };
+  }
+
+  /** Makes what is known older than all that the restored service holds. */
+  #leaveEra(now: number): void {
+    this.recordRecovery(now);
+    this.#revision = BEFORE_FIRST_REVISION;
+    this.#withheld.clear();
+    for (const [id, record] of this.#records) {
+      const isProvisional = record.provisionalUntilMilliseconds !== undefined;
+      this.#records.set(id, {
+        registration: record.registration,
+        revision: BEFORE_FIRST_REVISION,
+        ...(isProvisional
+          ? { provisionalUntilMilliseconds: this.#graceUntilMilliseconds }
+          : {}),
+      });
+    }
+    for (const [id, last] of this.#lastRegistrations) {
+      this.#lastRegistrations.set(id, {
+        ...last,
+        revision: BEFORE_FIRST_REVISION,
+      });
+    }
   }
 
   #applyChange(change: DiscoveryChange, now: number): boolean {
@@ -170,7 +275,7 @@
       case "snapshot":
         return this.#applySnapshot(change.snapshot);
       case "registration":
-        return this.#applyRegistration(change.registration, change.revision);
+        return this.#applyRegistration(change, now);
       case "gone":
         return this.#applyRemoval(change, now);
     }
@@ -183,37 +288,61 @@
     return true;
   }
 
-  #applyRegistration(
-    registration: ServerRegistration,
-    revision: number,
-  ): boolean {
+  #applyRegistration(change: Registered, now: number): boolean {
+    const { registration, revision } = change;
     const { id } = registration;
     const last = this.#lastRegistrations.get(id);
     if (last !== undefined && revision < last.revision) return false;
-    if (last !== undefined && isOlder(registration, last)) return false;
+    const age = last === undefined ? "newer" : compareAge(registration, last);
+    const wasRemoved = last?.removedInEra !== undefined &&
+      last.removedInEra < this.#era;
+    if (age !== "newer" && wasRemoved) {
+      if (last.state === "ready") this.#withhold(change, now);
+      return false;
+    }
+    if (age === "older") return false;
     const known = this.#records.get(id);
     if (
       known !== undefined && known.revision === revision &&
       known.provisionalUntilMilliseconds === undefined
     ) return false;
+    this.#accept(registration, revision);
+    return true;
+  }
+
+  #accept(registration: ServerRegistration, revision: number): void {
+    const { id } = registration;
+    this.#withheld.delete(id);
     this.#remember(id, {
       born: registration.bornAtMilliseconds,
       sequence: registration.sequence,
+      state: registration.state,
       revision,
     });
     this.#records.set(id, { registration, revision });
-    return true;
   }
 
-  #applyRemoval(
-    change: Extract<DiscoveryChange, { kind: "gone" }>,
-    now: number,
-  ): boolean {
+  #withhold(change: Registered, now: number): void {
+    const { id } = change.registration;
+    const untilMilliseconds = this.#withheld.get(id)?.untilMilliseconds ??
+      now + WITHHELD_MILLISECONDS;
+    this.#withheld.set(id, { change, untilMilliseconds });
+  }
+
+  #recordRemoval(id: string): void {
+    const last = this.#lastRegistrations.get(id);
+    if (last === undefined) return;
+    this.#lastRegistrations.set(id, { ...last, removedInEra: this.#era });
+  }
+
+  #applyRemoval(change: Gone, now: number): boolean {
+    this.#withheld.delete(change.id);
     const known = this.#records.get(change.id);
     if (known === undefined || known.revision > change.revision) return false;
+    if (change.reason !== "lost") this.#recordRemoval(change.id);
     const isReady = known.registration.state === "ready";
     if (
-      change.reason === "removed" && isReady &&
+      change.reason !== "unreadable" && isReady &&
       now < this.#graceUntilMilliseconds
     ) {
       if (known.provisionalUntilMilliseconds !== undefined) return false;
@@ -237,12 +366,13 @@
   }
 }
 
-/** Whether a registration is older than the last one of the same id. */
-function isOlder(
+/** Age of a registration beside the last one of the same id. */
+function compareAge(
   registration: ServerRegistration,
   last: LastRegistration,
-): boolean {
-  const { bornAtMilliseconds: born, sequence } = registration;
-  if (born !== last.born) return born < last.born;
-  return sequence < last.sequence;
+): "older" | "same" | "newer" {
+  const difference = registration.bornAtMilliseconds - last.born ||
+    registration.sequence - last.sequence;
+  if (difference === 0) return "same";
+  return difference < 0 ? "older" : "newer";
 }
--- a/packages/kernel/src/discovery_state_test.ts
+++ b/packages/kernel/src/discovery_state_test.ts
@@ -264,4 +264,57 @@
     starting.apply([removed(11)], 11, 0);
     expect(stateOf(starting)).toBeUndefined();
   });
+
+  it("uses a removed server that the service still holds after its lease", () => {
+    const state = makeOldState();
+    state.apply([removed(21)], 21, 0);
+    restore(state, [registered({ sequence: 5 }, 9)], 0);
+    expect(state.applyRenewed(5_000)).toEqual([]);
+    expect(state.applyRenewed(6_000)).toHaveLength(1);
+    expect(stateOf(state)).toBe("ready");
+    state.apply([removed(11)], 11, 10_000);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("does not use a removed server whose lease in the copy expires", () => {
+    const state = makeOldState();
+    state.apply([removed(21)], 21, 0);
+    restore(state, [registered({ sequence: 5 }, 9)], 0);
+    state.apply([removed(11)], 11, 4_500);
+    expect(state.applyRenewed(6_000)).toEqual([]);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("never uses a server that drained and was removed", () => {
+    const state = makeOldState({ sequence: 7, state: "draining" });
+    state.apply([removed(21)], 21, 0);
+    restore(state, [registered({ sequence: 5 }, 9)], 0);
+    expect(state.applyRenewed(20_000)).toEqual([]);
+    expect(stateOf(state)).toBeUndefined();
+  });
+
+  it("takes a newer configuration of an earlier era, and no older one", () => {
+    const state = makeOldState();
+    const snapshotOf = (version: number): DiscoveryChange => ({
+      kind: "snapshot",
+      snapshot: {
+        version,
+        routes: [],
+        services: [],
+        limits: {
+          maximumHeaderBytes: 1,
+          maximumBodyBytes: 1,
+          headerTimeoutMilliseconds: 1,
+          idleTimeoutMilliseconds: 1,
+        },
+      },
+    });
+    state.apply([snapshotOf(5)], 21, 0);
+    restore(state, [snapshotOf(3)], 0);
+    expect(state.snapshot?.version).toBe(5);
+    const late = { era: 1, revision: 22, changes: [snapshotOf(6)] };
+    expect(state.applyListing(late, 0)).toHaveLength(1);
+    expect(state.snapshot?.version).toBe(6);
+    expect(state.position).toEqual({ era: 2, revision: COPY_REVISION });
+  });
 });
