Discovery: back off when the history is gone right after a listing

A service that goes back without telling an era answered each watch 410 and each listing at once: an entry called it 2360 times in 10 s, and sent each listing to its peers. Now the second and further 410 in a row back off like a failure.

'does not list again and again if no era is told' failed before with 2360 calls (at most 40); discovery_synchronizer_test.ts: 24 passed.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -103,6 +103,8 @@
   #isServiceLost = false;
   #failuresInRow = 0;
   #mustReadAll = true;
+  /** How often the history was gone since a watch was answered. */
+  #rereadsInRow = 0;
   /** After it has taken over, this entry watches until this time. */
   #actingUntilMilliseconds = -Infinity;
 
@@ -355,6 +357,7 @@
     const { source, settings } = this.#options;
     const answer = await source.watch(base.revision, waitMilliseconds);
     if (answer.isErr()) return answer.error;
+    this.#rereadsInRow = 0;
     const { era = base.era, changes, revision } = answer.value;
     if (era !== base.era || era !== this.state.era) {
       this.#applySnapshots(changes);
@@ -390,11 +393,19 @@
         reason: failure.detail,
         revision: this.state.revision,
       });
-      return await this.#awaitPeerListing(failure.era, reason);
+      this.#rereadsInRow += 1;
+      await this.#awaitPeerListing(failure.era, reason);
+      // After a listing the history is gone again if the service went back.
+      return await this.#backOff(this.#rereadsInRow - 1);
     }
     this.#failuresInRow += 1;
     this.#recordLoss(failure);
-    const doublings = Math.min(this.#failuresInRow - 1, 4);
+    await this.#backOff(this.#failuresInRow);
+  }
+
+  async #backOff(failuresInRow: number): Promise<void> {
+    if (failuresInRow === 0) return;
+    const doublings = Math.min(failuresInRow - 1, 4);
     const backoffMilliseconds = Math.min(
       MAXIMUM_BACKOFF_MILLISECONDS,
       MINIMUM_BACKOFF_MILLISECONDS * 2 ** doublings,
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -419,6 +419,22 @@
     synchronizer.stop();
   });
 
+  it("does not list again and again if no era is told", async () => {
+    const { service, synchronizer } = setUp();
+    service.revision = 40;
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    service.revision = 10;
+    service.calls = 0;
+    await advance(10_000);
+    expect(service.calls).toBeLessThanOrEqual(40);
+    service.revision = 41;
+    service.changes = [registration("two", 41)];
+    await advance(1_500);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    synchronizer.stop();
+  });
+
   it("goes on as before if the era is no longer told", async () => {
     const { service, synchronizer } = await setUpRestored();
     service.era = undefined;
