Discovery: a late 410 of an ended era needs no listing

An entry whose watch was under way when peers sent it the listing of a new era listed once more. The new test failed before (2 listings, expected 1); discovery_synchronizer_test.ts: 25 passed.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -356,7 +356,12 @@
   ): Promise<DiscoveryFailure | undefined> {
     const { source, settings } = this.#options;
     const answer = await source.watch(base.revision, waitMilliseconds);
-    if (answer.isErr()) return answer.error;
+    if (answer.isErr()) {
+      const isLate = this.state.era > base.era;
+      return isLate && answer.error.kind === "history-gone"
+        ? undefined
+        : answer.error;
+    }
     this.#rereadsInRow = 0;
     const { era = base.era, changes, revision } = answer.value;
     if (era !== base.era || era !== this.state.era) {
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -46,6 +46,7 @@
       await new Promise((resolve) => setTimeout(resolve, 20));
       if (this.behaviour !== "answering") break;
     }
+    if (after > this.revision) return await this.#historyGone();
     return await this.#answer(4, () => ({
       era: this.era,
       revision: this.revision,
@@ -381,6 +382,19 @@
     synchronizer.stop();
   });
 
+  it("does not list what a peer sent while the watch was under way", async () => {
+    const { service, synchronizer } = await setUpRestored();
+    service.revision = 10;
+    await advance(1);
+    const listing = { era: 2, revision: 10, changes: [registration("two", 9)] };
+    synchronizer.applyPeerListing(listing, 0);
+    await advance(3_000);
+    expect(service.reads).toBe(1);
+    expect(synchronizer.state.records.has("two")).toBe(true);
+    expect(synchronizer.stateAgeMilliseconds).toBeLessThan(1_250);
+    synchronizer.stop();
+  });
+
   it("lists everything when the revisions have passed its own", async () => {
     const { service, synchronizer } = await setUpRestored();
     service.revision = 50;
