--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -614,7 +614,7 @@
         return;
       case "reading-request": {
         const { ageMilliseconds } = this.#discovery.freshness;
-        const reading = this.#discovery.state.listing();
+        const reading = this.#discovery.state.listing(this.#clock());
         reply({ kind: "reading", reading, ageMilliseconds });
         return;
       }
--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -34,6 +34,8 @@
     readonly kind: "registration";
     readonly revision: number;
     readonly registration: ServerRegistration;
+    /** In the listing of a peer that drops the record then, unless renewed. */
+    readonly graceMilliseconds?: number;
   }
   | {
     readonly kind: "gone";
@@ -221,7 +223,7 @@
     const renewed: DiscoveryChange[] = [];
     for (const [id, { change, untilMilliseconds }] of this.#withheld) {
       if (untilMilliseconds > now) continue;
-      this.#accept(change.registration, change.revision);
+      this.#accept(change, now);
       renewed.push(change);
       this.#withheld.delete(id);
     }
@@ -230,18 +232,22 @@
 
   /**
    * What the service holds, as a listing that a peer can apply, with the newer
-   * state of servers where the service has an older one. Provisional records
-   * are not among it.
+   * state of servers where the service has an older one, and the provisional
+   * records with what is left of their grace period.
    */
-  listing(): DiscoveryListing {
+  listing(now: number): DiscoveryListing {
     const changes: DiscoveryChange[] = [];
     if (this.#snapshot !== undefined) {
       changes.push({ kind: "snapshot", snapshot: this.#snapshot });
     }
     for (const record of this.#records.values()) {
       const { registration, revision, provisionalUntilMilliseconds } = record;
-      if (provisionalUntilMilliseconds !== undefined) continue;
-      changes.push({ kind: "registration", registration, revision });
+      const change = { kind: "registration", registration, revision } as const;
+      if (provisionalUntilMilliseconds === undefined) changes.push(change);
+      else {
+        const graceMilliseconds = provisionalUntilMilliseconds - now;
+        changes.push({ ...change, graceMilliseconds });
+      }
     }
     for (const { change } of this.#withheld.values()) changes.push(change);
     return { ...this.position, changes };
@@ -297,7 +303,10 @@
     const wasRemoved = last?.removedInEra !== undefined &&
       last.removedInEra < this.#era;
     if (age !== "newer" && wasRemoved) {
-      if (last.state === "ready") this.#withhold(change, now);
+      const isHeldByService = change.graceMilliseconds === undefined;
+      if (last.state === "ready" && isHeldByService) {
+        this.#withhold(change, now);
+      }
       return false;
     }
     if (age === "older") return false;
@@ -306,11 +315,12 @@
       known !== undefined && known.revision === revision &&
       known.provisionalUntilMilliseconds === undefined
     ) return false;
-    this.#accept(registration, revision);
+    this.#accept(change, now);
     return true;
   }
 
-  #accept(registration: ServerRegistration, revision: number): void {
+  #accept(change: Registered, now: number): void {
+    const { registration, revision, graceMilliseconds } = change;
     const { id } = registration;
     this.#withheld.delete(id);
     this.#remember(id, {
@@ -319,7 +329,13 @@
       state: registration.state,
       revision,
     });
-    this.#records.set(id, { registration, revision });
+    this.#records.set(id, {
+      registration,
+      revision,
+      ...(graceMilliseconds === undefined
+        ? {}
+        : { provisionalUntilMilliseconds: now + graceMilliseconds }),
+    });
   }
 
   #withhold(change: Registered, now: number): void {
--- a/packages/kernel/src/discovery_state_test.ts
+++ b/packages/kernel/src/discovery_state_test.ts
@@ -246,20 +246,35 @@
     expect(stateOf(state)).toBe("ready");
   });
 
-  it("does not pass on servers that it keeps for the grace period", () => {
+  it("passes on servers only for the rest of their grace period", () => {
     const state = makeOldState();
     restore(state, [], 1_000);
     const starting = makeState();
-    starting.applyListing(state.listing(), 1_500);
-    expect([...starting.records.keys()]).toEqual([]);
+    // The clock of the other entry is 5 s ahead.
+    starting.applyListing(state.listing(1_500), 6_500);
+    expect(stateOf(starting)).toBe("ready");
     expect(starting.revision).toBe(COPY_REVISION);
+    expect(starting.dropExpired(7_900)).toEqual([]);
+    expect(starting.dropExpired(8_000)).toEqual(["one"]);
+    expect(stateOf(starting)).toBeUndefined();
+  });
+
+  it("does not take from a peer a server that it saw removed", () => {
+    const peer = makeOldState();
+    restore(peer, [], 1_000);
+    const state = makeOldState();
+    state.apply([removed(21)], 21, 0);
+    state.applyListing(peer.listing(1_500), 1_500);
+    expect(state.position).toEqual(peer.position);
+    expect(state.applyRenewed(20_000)).toEqual([]);
+    expect(stateOf(state)).toBeUndefined();
   });
 
   it("passes on the last state of a server that the copy has older", () => {
     const state = makeOldState({ sequence: 7, state: "draining" });
     restore(state, [registered({ sequence: 5 }, 9)], 0);
     const starting = makeState();
-    starting.applyListing(state.listing(), 0);
+    starting.applyListing(state.listing(0), 0);
     expect(stateOf(starting)).toBe("draining");
     starting.apply([removed(11)], 11, 0);
     expect(stateOf(starting)).toBeUndefined();
