Discovery: entries that start learn which servers of a copy are withheld

An entry that started after the return and took its first state from a peer used a server at once that the fleet knew as removed, until its entry in the copy expired. Listings for peers say for how much longer such a server is not used.

--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -36,6 +36,8 @@
     readonly registration: ServerRegistration;
     /** In the listing of a peer that drops the record then, unless renewed. */
     readonly graceMilliseconds?: number;
+    /** In the listing of a peer that does not use the server until then. */
+    readonly withheldMilliseconds?: number;
   }
   | {
     readonly kind: "gone";
@@ -232,8 +234,8 @@
 
   /**
    * What the service holds, as a listing that a peer can apply, with the newer
-   * state of servers where the service has an older one, and the provisional
-   * records with what is left of their grace period.
+   * state of servers where the service has an older one. Provisional records
+   * and withheld registrations say for how much longer they are so.
    */
   listing(now: number): DiscoveryListing {
     const changes: DiscoveryChange[] = [];
@@ -249,7 +251,12 @@
         changes.push({ ...change, graceMilliseconds });
       }
     }
-    for (const { change } of this.#withheld.values()) changes.push(change);
+    for (const { change, untilMilliseconds } of this.#withheld.values()) {
+      changes.push({
+        ...change,
+        withheldMilliseconds: untilMilliseconds - now,
+      });
+    }
     return { ...this.position, changes };
   }
 
@@ -311,6 +318,10 @@
     }
     if (age === "older") return false;
     const known = this.#records.get(id);
+    if (change.withheldMilliseconds !== undefined) {
+      if (known === undefined) this.#withhold(change, now);
+      return false;
+    }
     if (
       known !== undefined && known.revision === revision &&
       known.provisionalUntilMilliseconds === undefined
@@ -338,11 +349,20 @@
     });
   }
 
-  #withhold(change: Registered, now: number): void {
-    const { id } = change.registration;
-    const untilMilliseconds = this.#withheld.get(id)?.untilMilliseconds ??
-      now + WITHHELD_MILLISECONDS;
-    this.#withheld.set(id, { change, untilMilliseconds });
+  #withhold(
+    {
+      registration,
+      revision,
+      withheldMilliseconds = WITHHELD_MILLISECONDS,
+    }: Registered,
+    now: number,
+  ): void {
+    const { id } = registration;
+    this.#withheld.set(id, {
+      change: { kind: "registration", revision, registration },
+      untilMilliseconds: this.#withheld.get(id)?.untilMilliseconds ??
+        now + withheldMilliseconds,
+    });
   }
 
   #recordRemoval(id: string): void {
--- a/packages/kernel/src/discovery_state_test.ts
+++ b/packages/kernel/src/discovery_state_test.ts
@@ -291,6 +291,24 @@
     expect(stateOf(state)).toBeUndefined();
   });
 
+  it("makes a starting entry wait as long for a removed server", () => {
+    const state = makeOldState();
+    state.apply([removed(21)], 21, 0);
+    restore(state, [registered({ sequence: 5 }, 9)], 0);
+    const starting = makeState();
+    // The clock of the other entry is 5 s ahead.
+    starting.applyListing(state.listing(2_000), 7_000);
+    expect(stateOf(starting)).toBeUndefined();
+    const third = makeState();
+    third.applyListing(starting.listing(8_000), 3_000);
+    expect(stateOf(third)).toBeUndefined();
+    expect(starting.applyRenewed(10_900)).toEqual([]);
+    expect(starting.applyRenewed(11_000)).toHaveLength(1);
+    expect(stateOf(starting)).toBe("ready");
+    third.apply([registered({ sequence: 6 }, 11)], 11, 4_000);
+    expect(stateOf(third)).toBe("ready");
+  });
+
   it("does not use a removed server whose lease in the copy expires", () => {
     const state = makeOldState();
     state.apply([removed(21)], 21, 0);
