--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -5,11 +5,20 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { err, type Result } from "neverthrow";
+import {
+  comparePositions,
+  type DiscoveryPosition,
+  positionOf,
+} from "@marigoldford/kernel/discovery_position";
 import {
   type DiscoveryChange,
   type DiscoveryListing,
   DiscoveryState,
 } from "@marigoldford/kernel/discovery_state";
+import {
+  isBehind,
+  type StateProgress,
+} from "@marigoldford/kernel/missing_revision";
 import { watcherReason } from "@marigoldford/kernel/watcher_selection";
 import type { Clock, RandomSource } from "@marigoldford/kernel/types";
 import type { DiscoveryFailure, DiscoverySource } from "./discovery_source.ts";
@@ -32,6 +41,8 @@
 };
 
 export type DiscoveryUpdate = {
+  /** The era of both revisions, if known. */
+  readonly era?: number;
   readonly baseRevision: number;
   readonly revision: number;
   readonly changes: readonly DiscoveryChange[];
@@ -72,6 +83,16 @@
 const START_CHECK_MILLISECONDS = 15;
 const MINIMUM_BACKOFF_MILLISECONDS = 100;
 const MAXIMUM_BACKOFF_MILLISECONDS = 800;
+/**
+ * All watching entries notice a restored service at the same time. Their
+ * listings are spread over this time, the chosen entries first, so that the
+ * first listing reaches the others before they read one.
+ */
+const CHOSEN_SPREAD_MILLISECONDS = 100;
+const ACTING_SPREAD_MILLISECONDS = 400;
+
+type Teller = "service" | "peer";
+type ReadReason = "chosen" | "news-too-old";
 
 export class DiscoverySynchronizer {
   readonly state: DiscoveryState;
@@ -83,6 +104,8 @@
   #isServiceLost = false;
   #failuresInRow = 0;
   #mustReadAll = true;
+  /** How often the history was gone since a watch was answered. */
+  #rereadsInRow = 0;
   /** After it has taken over, this entry watches until this time. */
   #actingUntilMilliseconds = -Infinity;
 
@@ -97,10 +120,17 @@
     return this.#options.clock() - this.#confirmedAtMilliseconds;
   }
 
+  get progress(): StateProgress {
+    return {
+      ...this.state.position,
+      snapshotVersion: this.state.snapshot?.version ?? 0,
+    };
+  }
+
   get freshness(): DiscoveryFreshness {
     const age = Math.round(this.stateAgeMilliseconds);
     return {
-      revision: this.state.revision,
+      ...this.progress,
       ageMilliseconds: Number.isFinite(age) ? age : Number.MAX_SAFE_INTEGER,
     };
   }
@@ -118,14 +148,17 @@
     this.#options.source.close();
   }
 
-  /** Applies a complete listing from a peer unless it is older. */
+  /** Applies a complete listing from a peer; of an older one the snapshot. */
   applyPeerListing(listing: DiscoveryListing, ageMilliseconds: number): void {
-    if (listing.revision < this.state.revision) return;
-    if (listing.revision === this.state.revision) {
-      return this.#confirm(ageMilliseconds);
+    const order = comparePositions(positionOf(listing), this.state.position);
+    if (order <= 0) this.#applySnapshots(listing.changes);
+    else {
+      this.#applyUpdate(
+        "peer",
+        () => this.state.applyListing(listing, this.#now()),
+      );
     }
-    this.#applyUpdate(() => this.state.applyListing(listing, this.#now()));
-    this.#confirm(ageMilliseconds);
+    if (order >= 0) this.#confirm(ageMilliseconds);
   }
 
   /** Applies changes from a peer; false if earlier changes are missing. */
@@ -134,9 +167,15 @@
       this.applyPeerListing(update, ageMilliseconds);
       return true;
     }
+    const { era } = positionOf(update);
+    if (era !== this.state.era) {
+      this.#applySnapshots(update.changes);
+      return era < this.state.era;
+    }
     if (update.baseRevision > this.state.revision) return false;
-    this.#applyUpdate(() =>
-      this.state.apply(update.changes, update.revision, this.#now())
+    this.#applyUpdate(
+      "peer",
+      () => this.state.apply(update.changes, update.revision, this.#now()),
     );
     if (this.state.revision <= update.revision) this.#confirm(ageMilliseconds);
     return true;
@@ -144,11 +183,13 @@
 
   /** Records how fresh a peer's state is; false if it is ahead of this one. */
   recordPeerFreshness(freshness: DiscoveryFreshness): boolean {
-    if (freshness.revision > this.state.revision) return false;
-    if (freshness.revision === this.state.revision && freshness.revision > 0) {
+    const position = positionOf(freshness);
+    const order = comparePositions(position, this.state.position);
+    if (order === 0 && position.revision > 0) {
       this.#confirm(freshness.ageMilliseconds);
     }
-    return true;
+    const { snapshotVersion = 0 } = freshness;
+    return !isBehind(this.progress, { ...position, snapshotVersion });
   }
 
   /** Called after the process was paused, when the state may be outdated. */
@@ -156,18 +197,26 @@
     this.#confirmedAtMilliseconds = -Infinity;
   }
 
-  /** Drops servers that did not register again in time after an outage. */
-  dropExpired(): void {
-    const dropped = this.state.dropExpired(this.#now());
-    if (dropped.length === 0) return;
-    this.#options.onChange(
-      dropped.map((id) => ({
-        kind: "gone",
-        id,
-        reason: "removed",
-        revision: this.state.revision,
-      })),
-    );
+  /**
+   * Drops servers that did not register again in time after an outage, and adds
+   * those that turned out to renew a registration that was removed before; an
+   * old state does not show whether it expired.
+   */
+  settleProvisional(): void {
+    const dropped = this.state.dropExpired(this.#now()).map((
+      id,
+    ): DiscoveryChange => ({
+      kind: "gone",
+      id,
+      reason: "removed",
+      revision: this.state.revision,
+    }));
+    const { maximumStateAgeMilliseconds } = this.#options.settings;
+    const renewed = this.stateAgeMilliseconds <= maximumStateAgeMilliseconds
+      ? this.state.applyRenewed(this.#now())
+      : [];
+    const changes = [...dropped, ...renewed];
+    if (changes.length > 0) this.#options.onChange(changes);
   }
 
   #now(): number {
@@ -190,16 +239,41 @@
     });
   }
 
-  #applyUpdate(apply: () => DiscoveryChange[]): DiscoveryChange[] {
-    const isFirst = this.state.revision === 0;
+  #applyUpdate(
+    from: Teller,
+    apply: () => DiscoveryChange[],
+  ): DiscoveryChange[] {
+    const previous = this.state.position;
+    const isFirst = previous.revision === 0;
     if (!isFirst && this.stateAgeMilliseconds > OUTAGE_MILLISECONDS) {
       this.state.recordRecovery(this.#now());
     }
     const changes = apply();
+    if (!isFirst && this.state.era !== previous.era) {
+      this.#logEraChange(from, previous);
+    }
     if (changes.length > 0) this.#options.onChange(changes);
     return changes;
   }
 
+  #logEraChange(from: Teller, previous: DiscoveryPosition): void {
+    this.#options.writeEvent({
+      event: "discovery-era-changed",
+      from,
+      ...this.state.position,
+      previousEra: previous.era,
+      previousRevision: previous.revision,
+      ageMilliseconds: Math.round(
+        Math.min(this.stateAgeMilliseconds, Number.MAX_SAFE_INTEGER),
+      ),
+    });
+  }
+
+  #applySnapshots(updates: readonly DiscoveryChange[]): void {
+    const changes = this.state.applySnapshots(updates);
+    if (changes.length > 0) this.#options.onChange(changes);
+  }
+
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       const reason = this.#watchReason();
@@ -240,55 +314,82 @@
     });
   }
 
-  async #readOnce(reason: "chosen" | "news-too-old"): Promise<void> {
+  async #readOnce(reason: ReadReason): Promise<void> {
     const { settings } = this.#options;
-    const baseRevision = this.state.revision;
+    const base = this.state.position;
     // An old state is first confirmed or replaced at once.
     const isFresh = this.stateAgeMilliseconds <
       settings.maximumStateAgeMilliseconds;
-    const failure = this.#mustReadAll || baseRevision === 0
-      ? await this.#readAll(baseRevision)
+    const failure = this.#mustReadAll || base.revision === 0
+      ? await this.#readAll(base)
       : await this.#watch(
-        baseRevision,
+        base,
         reason === "chosen" || isFresh ? settings.watchWaitMilliseconds : 0,
       );
     this.#options.onServiceCall(failure?.kind ?? "answered");
-    if (failure !== undefined) return await this.#onFailure(failure);
-    const hadState = baseRevision > 0;
+    if (failure !== undefined) return await this.#onFailure(failure, reason);
+    const hadState = base.revision > 0;
     if (!hadState || isFresh || reason === "chosen") return;
     this.#actingUntilMilliseconds = this.#now() + ACTING_MILLISECONDS;
   }
 
+  /** An answer without an era counts as one of the current era. */
   async #readAll(
-    baseRevision: number,
+    base: DiscoveryPosition,
   ): Promise<DiscoveryFailure | undefined> {
-    const listing = await this.#ask((source) => source.readAll());
-    if (listing.isErr()) return listing.error;
+    const answer = await this.#ask((source) => source.readAll());
+    if (answer.isErr()) return answer.error;
+    const { era = this.state.era, revision, changes } = answer.value;
+    if (era < this.state.era) {
+      this.#applySnapshots(changes);
+      return outdated(era);
+    }
     this.#mustReadAll = false;
-    const changes = this.#applyUpdate(() =>
-      this.state.applyListing(listing.value, this.#now())
+    const listing = { era, revision, changes };
+    const isSameHistory = base.revision > 0 && era === base.era;
+    const isKnown = comparePositions(listing, this.state.position) === 0;
+    const applied = this.#applyUpdate(
+      "service",
+      () => this.state.applyListing(listing, this.#now()),
     );
-    const { revision } = listing.value;
+    const baseRevision = isKnown ? revision : base.revision;
     this.#onSuccess(
-      baseRevision === 0
-        ? { baseRevision, ...listing.value, isListing: true }
-        : { baseRevision, revision, changes },
+      isKnown || isSameHistory
+        ? { era, baseRevision, revision, changes: isKnown ? [] : applied }
+        : { ...listing, baseRevision, isListing: true },
     );
     return undefined;
   }
 
   async #watch(
-    baseRevision: number,
+    base: DiscoveryPosition,
     waitMilliseconds: number,
   ): Promise<DiscoveryFailure | undefined> {
     const { settings } = this.#options;
     const answer = await this.#ask((source) =>
-      source.watch(baseRevision, waitMilliseconds)
+      source.watch(base.revision, waitMilliseconds)
     );
-    if (answer.isErr()) return answer.error;
-    const { changes, revision } = answer.value;
-    this.#applyUpdate(() => this.state.apply(changes, revision, this.#now()));
-    this.#onSuccess({ baseRevision, revision, changes });
+    if (answer.isErr()) {
+      const isLate = this.state.era > base.era;
+      return isLate && answer.error.kind === "history-gone"
+        ? undefined
+        : answer.error;
+    }
+    this.#rereadsInRow = 0;
+    const { era = base.era, changes, revision } = answer.value;
+    if (era !== base.era || era !== this.state.era) {
+      this.#applySnapshots(changes);
+      if (era < base.era) return outdated(era);
+      if (era <= this.state.era) return undefined;
+      const detail = `a watch of era ${base.era} answered in era ${era}`;
+      return { kind: "history-gone", detail, era };
+    }
+    this.#applyUpdate(
+      "service",
+      () => this.state.apply(changes, revision, this.#now()),
+    );
+    const baseRevision = base.revision;
+    this.#onSuccess({ era, baseRevision, revision, changes });
     if (changes.length > 0) await sleep(settings.batchDelayMilliseconds);
     return undefined;
   }
@@ -316,7 +417,10 @@
     this.#options.onUpdate(update);
   }
 
-  async #onFailure(failure: DiscoveryFailure): Promise<void> {
+  async #onFailure(
+    failure: DiscoveryFailure,
+    reason: ReadReason,
+  ): Promise<void> {
     if (failure.kind === "history-gone") {
       this.#mustReadAll = true;
       this.#options.writeEvent({
@@ -324,11 +428,19 @@
         reason: failure.detail,
         revision: this.state.revision,
       });
-      return;
+      this.#rereadsInRow += 1;
+      await this.#awaitPeerListing(failure.era, reason);
+      // After a listing the history is gone again if the service went back.
+      return await this.#backOff(this.#rereadsInRow - 1);
     }
     this.#failuresInRow += 1;
     this.#recordLoss(failure);
-    const doublings = Math.min(this.#failuresInRow - 1, 4);
+    await this.#backOff(this.#failuresInRow);
+  }
+
+  async #backOff(failuresInRow: number): Promise<void> {
+    if (failuresInRow === 0) return;
+    const doublings = Math.min(failuresInRow - 1, 4);
     const backoffMilliseconds = Math.min(
       MAXIMUM_BACKOFF_MILLISECONDS,
       MINIMUM_BACKOFF_MILLISECONDS * 2 ** doublings,
@@ -336,6 +448,20 @@
     await sleep(backoffMilliseconds * (0.75 + this.#options.random() / 2));
   }
 
+  /** Gives peers time to send a listing of the era that has begun, if any. */
+  async #awaitPeerListing(
+    era: number | undefined,
+    reason: ReadReason,
+  ): Promise<void> {
+    if (era === undefined || era <= this.state.era) return;
+    const spreadMilliseconds = reason === "chosen"
+      ? CHOSEN_SPREAD_MILLISECONDS
+      : ACTING_SPREAD_MILLISECONDS;
+    const delay = reason === "chosen" ? 0 : CHOSEN_SPREAD_MILLISECONDS;
+    await sleep(delay + spreadMilliseconds * this.#options.random());
+    if (this.state.era >= era) this.#mustReadAll = false;
+  }
+
   #recordLoss(failure: DiscoveryFailure): void {
     if (this.#isServiceLost) return;
     this.#isServiceLost = true;
@@ -349,3 +475,7 @@
     });
   }
 }
+
+function outdated(era: number): DiscoveryFailure {
+  return { kind: "outdated", detail: `an answer of era ${era}`, era };
+}
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -9,6 +9,7 @@
 import type { Buffer } from "node:buffer";
 import { decode, encode } from "cbor-x";
 import { err, ok, Result } from "neverthrow";
+import type { ToldPosition } from "@marigoldford/kernel/discovery_position";
 import type {
   DiscoveryChange,
   DiscoveryListing,
@@ -27,6 +28,7 @@
 import {
   readAddress,
   readName,
+  readOptional,
   readSequence,
 } from "@marigoldford/kernel/foreign_fields";
 import { readChange } from "@marigoldford/kernel/foreign_state";
@@ -34,8 +36,9 @@
 import type { EntryState } from "@marigoldford/kernel/types";
 
 /** How up to date the sender's discovery state is. */
-export type DiscoveryFreshness = {
-  readonly revision: number;
+export type DiscoveryFreshness = ToldPosition & {
+  /** Version of the sender's snapshot; earlier builds do not tell it. */
+  readonly snapshotVersion?: number;
   /** Time since the state was last known to be complete. */
   readonly ageMilliseconds: number;
 };
@@ -99,6 +102,8 @@
 export type FleetFrame =
   | {
     readonly kind: "changes";
+    /** The era of both revisions; earlier builds do not tell it. */
+    readonly era?: number;
     readonly baseRevision: number;
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
@@ -247,11 +252,13 @@
   switch (kind) {
     case "changes":
       return Result.combine([
+        readOptional(message, "era", readInteger),
         readInteger(message.baseRevision, "baseRevision"),
         readInteger(message.revision, "revision"),
         readChanges(message.changes, onIgnored),
         readAge(message.ageMilliseconds),
-      ]).map(([baseRevision, revision, changes, ageMilliseconds]) => ({
+      ]).map(([era, baseRevision, revision, changes, ageMilliseconds]) => ({
+        ...era,
         baseRevision,
         revision,
         changes,
@@ -270,9 +277,10 @@
 function readListing(value: unknown, onIgnored: OnIgnored) {
   return readObject(value, "reading").andThen((reading) =>
     Result.combine([
+      readOptional(reading, "era", readInteger),
       readInteger(reading.revision, "revision"),
       readChanges(reading.changes, onIgnored),
-    ]).map(([revision, changes]) => ({ ...reading, revision, changes }))
+    ]).map(([era, revision, changes]) => ({ ...era, revision, changes }))
   );
 }
 
@@ -301,11 +309,14 @@
 function readFreshness(value: unknown) {
   return readObject(value, "news").andThen((news) =>
     Result.combine([
+      readOptional(news, "era", readInteger),
       readInteger(news.revision, "revision"),
+      readOptional(news, "snapshotVersion", readInteger),
       readAge(news.ageMilliseconds),
-    ]).map(([revision, ageMilliseconds]) => ({
-      ...news,
+    ]).map(([era, revision, snapshotVersion, ageMilliseconds]) => ({
+      ...era,
       revision,
+      ...snapshotVersion,
       ageMilliseconds,
     }))
   );
--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -11,7 +11,17 @@
  * - Registrations expire while the servers cannot reach the discovery service.
  *   Those that are missing after such an outage are kept provisionally and
  *   dropped unless they are renewed within a grace period.
+ * - Revisions belong to one era of the service, which ends when the service is
+ *   restored from an older copy. With the first listing of a new era, all that
+ *   is known of the eras before stays only as far as the servers' own
+ *   sequences, and the snapshot's version, are newer than the copy's.
  */
+import {
+  type DiscoveryPosition,
+  positionOf,
+  type ToldPosition,
+  UNKNOWN_ERA,
+} from "./discovery_position.ts";
 import type {
   RoutingSnapshot,
   ServerRegistration,
@@ -24,18 +34,24 @@
     readonly kind: "registration";
     readonly revision: number;
     readonly registration: ServerRegistration;
+    /** In the listing of a peer that drops the record then, unless renewed. */
+    readonly graceMilliseconds?: number;
+    /** In the listing of a peer that does not use the server until then. */
+    readonly withheldMilliseconds?: number;
   }
   | {
     readonly kind: "gone";
     readonly revision: number;
     readonly id: string;
-    /** `unreadable`: the item exists but describes no usable server. */
-    readonly reason: "removed" | "unreadable";
+    /**
+     * - `unreadable`: the item exists but describes no usable server.
+     * - `lost`: the service was restored from a copy without the item.
+     */
+    readonly reason: "removed" | "unreadable" | "lost";
   };
 
 /** Complete contents of the discovery service at a revision. */
-export type DiscoveryListing = {
-  readonly revision: number;
+export type DiscoveryListing = ToldPosition & {
   readonly changes: readonly DiscoveryChange[];
 };
 
@@ -51,12 +67,28 @@
   readonly outageGraceMilliseconds: number;
 };
 
+type Registered = Extract<DiscoveryChange, { kind: "registration" }>;
+type Gone = Extract<DiscoveryChange, { kind: "gone" }>;
+
 type LastRegistration = {
   readonly born: number;
   readonly sequence: number;
+  readonly state: ServerRegistration["state"];
   readonly revision: number;
+  /** The era in which this registration was removed or dropped, if it was. */
+  readonly removedInEra?: number;
+};
+
+/** A registration that was removed in an earlier era, found in a copy. */
+type WithheldRegistration = {
+  readonly change: Registered;
+  readonly untilMilliseconds: number;
 };
 
+/** What is known of earlier eras counts as older than any revision. */
+const BEFORE_FIRST_REVISION = 0;
+/** A registration that its server does not renew expires sooner. */
+const WITHHELD_MILLISECONDS = 6_000;
 /** Maximum number of ids that are remembered to reject late writes. */
 const MAXIMUM_REMEMBERED_IDS = 5_000;
 
@@ -64,7 +96,9 @@
   readonly #options: DiscoveryStateOptions;
   readonly #records = new Map<string, ServerRecord>();
   readonly #lastRegistrations = new Map<string, LastRegistration>();
+  readonly #withheld = new Map<string, WithheldRegistration>();
   #snapshot: RoutingSnapshot | undefined;
+  #era = UNKNOWN_ERA;
   #revision = 0;
   #graceUntilMilliseconds = -Infinity;
 
@@ -72,6 +106,15 @@
     this.#options = options;
   }
 
+  get position(): DiscoveryPosition {
+    return { era: this.#era, revision: this.#revision };
+  }
+
+  get era(): number {
+    return this.#era;
+  }
+
+  /** The last revision of the current era. */
   get revision(): number {
     return this.#revision;
   }
@@ -90,8 +133,9 @@
   }
 
   /**
-   * Applies changes up to `revision`; returns those that had an effect. The
-   * state is complete up to its own revision, so older changes are late.
+   * Applies changes of the current era up to `revision`; returns those that had
+   * an effect. The state is complete up to its own revision, so older changes
+   * are late.
    */
   apply(
     changes: readonly DiscoveryChange[],
@@ -114,8 +158,26 @@
     return applied;
   }
 
-  /** Applies a complete listing; removes the servers that it does not hold. */
+  /** Applies only the snapshots, which their versions order in all eras. */
+  applySnapshots(changes: readonly DiscoveryChange[]): DiscoveryChange[] {
+    return changes.filter((change) =>
+      change.kind === "snapshot" && this.#applySnapshot(change.snapshot)
+    );
+  }
+
+  /**
+   * Applies a complete listing; removes the servers that it does not hold. Of a
+   * listing of an earlier era only the snapshot is applied.
+   */
   applyListing(listing: DiscoveryListing, now: number): DiscoveryChange[] {
+    const { era } = positionOf(listing);
+    const isFirst = this.#revision === 0;
+    if (!isFirst && era < this.#era) {
+      return this.applySnapshots(listing.changes);
+    }
+    const isNewEra = !isFirst && era > this.#era;
+    if (isNewEra) this.#leaveEra(now);
+    this.#era = era;
     const present = new Set<string>();
     for (const change of listing.changes) {
       if (change.kind === "registration") present.add(change.registration.id);
@@ -126,10 +188,13 @@
       missing.push({
         kind: "gone",
         id,
-        reason: "removed",
+        reason: isNewEra ? "lost" : "removed",
         revision: listing.revision,
       });
     }
+    for (const id of this.#withheld.keys()) {
+      if (!present.has(id)) this.#withheld.delete(id);
+    }
     return this.#applyAll(
       [...missing, ...listing.changes],
       listing.revision,
@@ -146,21 +211,79 @@
       const until = record.provisionalUntilMilliseconds;
       if (until === undefined || until > now) continue;
       this.#records.delete(id);
+      this.#recordRemoval(id);
       dropped.push(id);
     }
     return dropped;
   }
 
-  /** The complete state, as a listing that a peer can apply. */
-  listing(): DiscoveryListing {
+  /**
+   * Applies withheld registrations that the service still holds after the time
+   * in which they would have expired; returns them.
+   */
+  applyRenewed(now: number): DiscoveryChange[] {
+    const renewed: DiscoveryChange[] = [];
+    for (const [id, { change, untilMilliseconds }] of this.#withheld) {
+      if (untilMilliseconds > now) continue;
+      this.#accept(change, now);
+      renewed.push(change);
+      this.#withheld.delete(id);
+    }
+    return renewed;
+  }
+
+  /**
+   * What the service holds, as a listing that a peer can apply, with the newer
+   * state of servers where the service has an older one. Provisional records
+   * and withheld registrations say for how much longer they are so.
+   */
+  listing(now: number): DiscoveryListing {
     const changes: DiscoveryChange[] = [];
     if (this.#snapshot !== undefined) {
       changes.push({ kind: "snapshot", snapshot: this.#snapshot });
     }
-    for (const { registration, revision } of this.#records.values()) {
-      changes.push({ kind: "registration", registration, revision });
+    for (const record of this.#records.values()) {
+      const { registration, revision, provisionalUntilMilliseconds } = record;
+      const change = { kind: "registration", registration, revision } as const;
+      if (provisionalUntilMilliseconds === undefined) changes.push(change);
+      else {
+        const graceMilliseconds = Math.max(
+          0,
+          provisionalUntilMilliseconds - now,
+        );
+        changes.push({ ...change, graceMilliseconds });
+      }
+    }
+    for (const { change, untilMilliseconds } of this.#withheld.values()) {
+      changes.push({
+        ...change,
+        withheldMilliseconds: Math.max(0, untilMilliseconds - now),
+      });
+    }
+    return { ...this.position, changes };
+  }
+
+  /** Makes what is known older than all that the restored service holds. */
+  #leaveEra(now: number): void {
+    this.recordRecovery(now);
+    this.#revision = BEFORE_FIRST_REVISION;
+    this.#withheld.clear();
+    for (const [id, record] of this.#records) {
+      const isProvisional = record.provisionalUntilMilliseconds !== undefined;
+      this.#records.set(id, {
+        registration: record.registration,
+        revision: BEFORE_FIRST_REVISION,
+        ...(isProvisional
+          ? { provisionalUntilMilliseconds: this.#graceUntilMilliseconds }
+          : {}),
+      });
+    }
+    for (const [id, last] of this.#lastRegistrations) {
+      this.#lastRegistrations.set(id, {
+        ...last,
+        revision: BEFORE_FIRST_REVISION,
+      });
     }
-    return { revision: this.#revision, changes };
   }
 
   #applyChange(change: DiscoveryChange, now: number): boolean {
@@ -168,7 +291,7 @@
       case "snapshot":
         return this.#applySnapshot(change.snapshot);
       case "registration":
-        return this.#applyRegistration(change.registration, change.revision);
+        return this.#applyRegistration(change, now);
       case "gone":
         return this.#applyRemoval(change, now);
     }
@@ -181,37 +304,84 @@
     return true;
   }
 
-  #applyRegistration(
-    registration: ServerRegistration,
-    revision: number,
-  ): boolean {
+  #applyRegistration(change: Registered, now: number): boolean {
+    const { registration, revision } = change;
     const { id } = registration;
     const last = this.#lastRegistrations.get(id);
     if (last !== undefined && revision < last.revision) return false;
-    if (last !== undefined && isOlder(registration, last)) return false;
+    const age = last === undefined ? "newer" : compareAge(registration, last);
+    const wasRemoved = last?.removedInEra !== undefined &&
+      last.removedInEra < this.#era;
+    if (age !== "newer" && wasRemoved) {
+      const isHeldByService = change.graceMilliseconds === undefined;
+      if (last.state === "ready" && isHeldByService) {
+        this.#withhold(change, now);
+      }
+      return false;
+    }
+    if (age === "older") return false;
     const known = this.#records.get(id);
+    if (change.withheldMilliseconds !== undefined) {
+      if (known === undefined) this.#withhold(change, now);
+      return false;
+    }
     if (
       known !== undefined && known.revision === revision &&
       known.provisionalUntilMilliseconds === undefined
     ) return false;
+    this.#accept(change, now);
+    return true;
+  }
+
+  #accept(change: Registered, now: number): void {
+    const { registration, revision, graceMilliseconds } = change;
+    const { id } = registration;
+    this.#withheld.delete(id);
     this.#remember(id, {
       born: registration.bornAtMilliseconds,
       sequence: registration.sequence,
+      state: registration.state,
       revision,
     });
-    this.#records.set(id, { registration, revision });
-    return true;
+    this.#records.set(id, {
+      registration,
+      revision,
+      ...(graceMilliseconds === undefined
+        ? {}
+        : { provisionalUntilMilliseconds: now + graceMilliseconds }),
+    });
   }
 
-  #applyRemoval(
-    change: Extract<DiscoveryChange, { kind: "gone" }>,
+  #withhold(
+    {
+      registration,
+      revision,
+      withheldMilliseconds = WITHHELD_MILLISECONDS,
+    }: Registered,
     now: number,
-  ): boolean {
+  ): void {
+    const { id } = registration;
+    this.#withheld.set(id, {
+      change: { kind: "registration", revision, registration },
+      untilMilliseconds: this.#withheld.get(id)?.untilMilliseconds ??
+        now + withheldMilliseconds,
+    });
+  }
+
+  #recordRemoval(id: string): void {
+    const last = this.#lastRegistrations.get(id);
+    if (last === undefined) return;
+    this.#lastRegistrations.set(id, { ...last, removedInEra: this.#era });
+  }
+
+  #applyRemoval(change: Gone, now: number): boolean {
+    this.#withheld.delete(change.id);
     const known = this.#records.get(change.id);
     if (known === undefined || known.revision > change.revision) return false;
+    if (change.reason !== "lost") this.#recordRemoval(change.id);
     const isReady = known.registration.state === "ready";
     if (
-      change.reason === "removed" && isReady &&
+      change.reason !== "unreadable" && isReady &&
       now < this.#graceUntilMilliseconds
     ) {
       if (known.provisionalUntilMilliseconds !== undefined) return false;
@@ -235,12 +405,13 @@
   }
 }
 
-/** Whether a registration is older than the last one of the same id. */
-function isOlder(
+/** Age of a registration beside the last one of the same id. */
+function compareAge(
   registration: ServerRegistration,
   last: LastRegistration,
-): boolean {
-  const { bornAtMilliseconds: born, sequence } = registration;
-  if (born !== last.born) return born < last.born;
-  return sequence < last.sequence;
+): "older" | "same" | "newer" {
+  const difference = registration.bornAtMilliseconds - last.born ||
+    registration.sequence - last.sequence;
+  if (difference === 0) return "same";
+  return difference < 0 ? "older" : "newer";
 }
--- a/packages/kernel/src/foreign_fields.ts
+++ b/packages/kernel/src/foreign_fields.ts
@@ -6,9 +6,10 @@
  * The ranges are far beyond any real value; a value out of range is a mistake
  * of its writer.
  */
-import type { Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { IPV4_ADDRESS } from "./address.ts";
 import {
+  type JsonObject,
   readInteger,
   readMatchingString,
   readNumber,
@@ -128,3 +129,16 @@
 ): Result<number, ValueMalformed> {
   return readNumber(value, path, { maximum: MAXIMUM_AMOUNT });
 }
+
+/** Reads a field of an object under its name, or nothing if it is missing. */
+export function readOptional<Name extends string, Value>(
+  object: JsonObject,
+  name: Name,
+  read: (value: unknown, path: string) => Result<Value, ValueMalformed>,
+): Result<{ readonly [Key in Name]?: Value }, ValueMalformed> {
+  const value = object[name];
+  if (value === undefined) return ok({});
+  return read(value, name).map((known) =>
+    ({ [name]: known }) as { [Key in Name]?: Value }
+  );
+}
--- a/packages/kernel/src/foreign_state.ts
+++ b/packages/kernel/src/foreign_state.ts
@@ -5,6 +5,7 @@
 import { err, ok, Result } from "neverthrow";
 import type { DiscoveryChange } from "./discovery_state.ts";
 import {
+  type JsonObject,
   malformed,
   readArray,
   readInteger,
@@ -18,6 +19,7 @@
   readId,
   readMilliseconds,
   readName,
+  readOptional,
   readPath,
   readPathPrefix,
   readSequence,
@@ -40,7 +42,7 @@
   "at-most-once",
   "download",
 ];
-const REASONS = ["removed", "unreadable"] as const;
+const REASONS = ["removed", "unreadable", "lost"] as const;
 const CHANGE_KINDS = ["snapshot", "registration", "gone"] as const;
 
 type Read<Value> = Result<Value, ValueMalformed>;
@@ -65,7 +67,7 @@
         return readInteger(change.revision, "revision").andThen((revision) =>
           kind === "gone"
             ? readRemoval(change.id, change.reason, revision)
-            : readRegistrationChange(change.registration, revision, onIgnored)
+            : readRegistrationChange(change, revision, onIgnored)
         );
       },
     )
@@ -84,20 +86,26 @@
 }
 
 function readRegistrationChange(
-  value: unknown,
+  change: JsonObject,
   revision: number,
   onIgnored: (error: ValueMalformed) => void,
 ): Read<DiscoveryChange> {
-  return readRegistration(value)
-    .map((registration): DiscoveryChange => ({
+  return Result.combine([
+    readRegistration(change.registration),
+    readOptional(change, "graceMilliseconds", readMilliseconds),
+    readOptional(change, "withheldMilliseconds", readMilliseconds),
+  ])
+    .map(([registration, grace, withheld]): DiscoveryChange => ({
       kind: "registration",
       revision,
       registration,
+      ...grace,
+      ...withheld,
     }))
     .orElse((error) => {
-      const id = readObject(value, "registration").andThen(({ id }) =>
-        readId(id, "id")
-      );
+      const id = readObject(change.registration, "registration").andThen((
+        { id },
+      ) => readId(id, "id"));
       if (id.isErr()) return err(error);
       onIgnored(error);
       return ok<DiscoveryChange, ValueMalformed>({
