Gateway: a stop resets no connection that waits to be accepted

A caller whose connection was complete, but not yet accepted when the entry stopped listening, got a reset.

The entry accepts what waits in the queue, and stops listening in the same turn.

--- a/packages/gateway/src/call_server.ts
+++ b/packages/gateway/src/call_server.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setImmediate, setTimeout as sleep } from "node:timers/promises";
 import type { RequestLimits } from "@marigoldford/kernel/routing_snapshot";
 import type { Address, Clock } from "@marigoldford/kernel/types";
 import type { ExchangeContext } from "./exchange_context.ts";
@@ -97,6 +97,8 @@
    * an answer at the given time.
    */
   async drain(untilMilliseconds: number): Promise<number> {
+    // Lets connections be accepted that the close would reset.
+    await setImmediate();
     this.#server.close();
     this.#server.closeIdleConnections();
     // Requests may be on their way on connections that were just accepted.
