Discovery: a listing leaves no gap for peers when a change arrived meanwhile

An entry that reads the service anew told its peers what the listing changed, as of the position before the read. A change that it got from a peer during the read was then in neither, so a peer that had missed that change lost it.

The base is now the position at which the listing is applied.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -321,7 +321,7 @@
     const isFresh = this.stateAgeMilliseconds <
       settings.maximumStateAgeMilliseconds;
     const failure = this.#mustReadAll || base.revision === 0
-      ? await this.#readAll(base)
+      ? await this.#readAll()
       : await this.#watch(
         base,
         reason === "chosen" || isFresh ? settings.watchWaitMilliseconds : 0,
@@ -333,10 +333,11 @@
     this.#actingUntilMilliseconds = this.#now() + ACTING_MILLISECONDS;
   }
 
-  /** An answer without an era counts as one of the current era. */
-  async #readAll(
-    base: DiscoveryPosition,
-  ): Promise<DiscoveryFailure | undefined> {
+  /**
+   * An answer without an era counts as one of the current era. Peers at the
+   * position before get what it changed, or all of the first of an era.
+   */
+  async #readAll(): Promise<DiscoveryFailure | undefined> {
     const answer = await this.#ask((source) => source.readAll());
     if (answer.isErr()) return answer.error;
     const { era = this.state.era, revision, changes } = answer.value;
@@ -346,15 +347,16 @@
     }
     this.#mustReadAll = false;
     const listing = { era, revision, changes };
-    const isSameHistory = base.revision > 0 && era === base.era;
-    const isKnown = comparePositions(listing, this.state.position) === 0;
+    const previous = this.state.position;
+    const isSameHistory = previous.revision > 0 && era === previous.era;
+    const isKnown = isSameHistory && revision <= previous.revision;
     const applied = this.#applyUpdate(
       "service",
       () => this.state.applyListing(listing, this.#now()),
     );
-    const baseRevision = isKnown ? revision : base.revision;
+    const baseRevision = isKnown ? revision : previous.revision;
     this.#onSuccess(
-      isKnown || isSameHistory
+      isSameHistory
         ? { era, baseRevision, revision, changes: isKnown ? [] : applied }
         : { ...listing, baseRevision, isListing: true },
     );
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -214,6 +214,33 @@
     synchronizer.stop();
   });
 
+  it("leaves no gap for peers when a change arrives while it reads anew", async () => {
+    const { service, synchronizer, updates } = setUp();
+    service.changes = [registration("one", 1)];
+    synchronizer.start();
+    await advance(3_000);
+    service.behaviour = "history-gone";
+    await advance(100);
+    updates.length = 0;
+    service.behaviour = "answering";
+    const three = registration("three", 5);
+    service.revision = 9;
+    service.changes = [registration("one", 1), three, registration("four", 8)];
+    const reads = service.reads;
+    while (service.reads === reads) await advance(1);
+    synchronizer.applyPeerUpdate({
+      baseRevision: 1,
+      revision: 5,
+      changes: [three],
+    }, 0);
+    await advance(1_000);
+    expect(synchronizer.state.revision).toBe(9);
+    const [update] = updates.filter(({ revision }) => revision === 9);
+    expect(update.changes.includes(three) || update.baseRevision >= 5)
+      .toBe(true);
+    synchronizer.stop();
+  });
+
   it("drops at once a server removed right after the start", async () => {
     const { service, synchronizer } = setUp();
     synchronizer.start();
