Admission: one odd deadline makes no other caller count as one that comes back

Callers that come back are recognized by less time than usual for the route. Since that is the deadline that they name, and no longer at most the route's timeout, a single caller that named a very long one made all others count as coming back: they could wait for 30 ms only and were dequeued last.

The usual deadline now rises by at most 4 in 100 with each request, and longer ones than ten times the timeout count as that.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -47,6 +47,8 @@
 const STARTING_RETRY_AFTER_SECONDS = 0.5;
 /** Characters that Node's parser accepts in a path, but its client rejects. */
 const MALFORMED_PATH = /[^\u0021-\u00ff]/;
+/** Longer deadlines say nothing more about what is usual. */
+const MAXIMUM_DEADLINE_TIMEOUTS = 10;
 const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 
 export function admit(
@@ -97,8 +99,10 @@
   route: SnapshotRoute,
 ): boolean {
   const deadline = callerDeadlineOf(context, request);
-  return deadline !== undefined &&
-    context.services.estimatesOf(route).recordCallerTimeout(deadline);
+  if (deadline === undefined) return false;
+  return context.services.estimatesOf(route).recordCallerTimeout(
+    Math.min(deadline, MAXIMUM_DEADLINE_TIMEOUTS * route.timeoutMilliseconds),
+  );
 }
 
 /** Time that the caller waits; undefined if it names no number. */
--- a/packages/kernel/src/route_estimates.ts
+++ b/packages/kernel/src/route_estimates.ts
@@ -10,6 +10,8 @@
 const MINIMUM_SAMPLE_WEIGHT = 0.05;
 /** Decay per request; the usual timeout adapts over some hundred requests. */
 const TIMEOUT_DECAY = 0.998;
+/** Increase per request at most, so that one odd deadline does no harm. */
+const MAXIMUM_TIMEOUT_INCREASE = 1.04;
 /** A timeout below this share of the usual one marks a retry by the caller. */
 const CALLER_RETRY_SHARE = 0.95;
 /**
@@ -53,9 +55,10 @@
    * so its timeout is shorter than the usual one of the route.
    */
   recordCallerTimeout(milliseconds: number): boolean {
-    this.#usualTimeoutMilliseconds = Math.max(
-      milliseconds,
-      this.#usualTimeoutMilliseconds * TIMEOUT_DECAY,
+    const usual = this.#usualTimeoutMilliseconds;
+    this.#usualTimeoutMilliseconds = usual === 0 ? milliseconds : Math.max(
+      Math.min(milliseconds, usual * MAXIMUM_TIMEOUT_INCREASE),
+      usual * TIMEOUT_DECAY,
     );
     return milliseconds < this.#usualTimeoutMilliseconds * CALLER_RETRY_SHARE;
   }
