Placement: one short request may queue where all slots are used

Two slots are the best load there, and without a queued request a slot stays idle until an entry learns that it is free.

One request may queue again at servers whose best load takes all slots, if it starts within a quarter of a phase.

--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -5,7 +5,7 @@
 import { needsLoadProbe } from "@marigoldford/kernel/load_probe";
 import {
   type CrossDomainCost,
-  limitOfHighestThroughput,
+  limitWithQueue,
   place,
   type PlacementRequest,
   type PlacementResult,
@@ -70,7 +70,7 @@
       },
       staleEstimate,
       assumedOccupancy: reportedOccupancy(servers, now),
-      concurrencyLimit: limitOfHighestThroughput,
+      concurrencyLimit: limitWithQueue,
     });
   }
 
--- a/packages/kernel/src/__fixtures__/simulated_service.ts
+++ b/packages/kernel/src/__fixtures__/simulated_service.ts
@@ -12,6 +12,7 @@
 import { FleetRetryBudget } from "../fleet_budget.ts";
 import { needsLoadProbe } from "../load_probe.ts";
 import {
+  type ConcurrencyLimit,
   place,
   type PlacementContext,
   type PlacementRequest,
@@ -71,8 +72,8 @@
    * server with capacity, by the number of requests in the queue.
    */
   readonly mayPlaceLate: (queueLength: number) => boolean;
-  /** Maximum number of requests at a server with a number of slots. */
-  readonly concurrencyLimit: (slots: number) => number;
+  /** Maximum number of requests at a server at the same time. */
+  readonly concurrencyLimit: ConcurrencyLimit;
 };
 
 export type SimulationResult = {
--- a/packages/kernel/src/burst_recovery_test.ts
+++ b/packages/kernel/src/burst_recovery_test.ts
@@ -8,10 +8,7 @@
   type SimulatedLoad,
   simulateService,
 } from "./__fixtures__/simulated_service.ts";
-import {
-  firstAttemptLimitMilliseconds,
-  limitOfHighestThroughput,
-} from "./placement.ts";
+import { firstAttemptLimitMilliseconds, limitWithQueue } from "./placement.ts";
 
 const BURST_START_SECOND = 2;
 const BURST_END_SECOND = 5;
@@ -47,7 +44,7 @@
 const POLICY: PlacementPolicy = {
   maximumExpectedMilliseconds: firstAttemptLimitMilliseconds,
   mayPlaceLate: (queueLength) => queueLength === 0,
-  concurrencyLimit: limitOfHighestThroughput,
+  concurrencyLimit: limitWithQueue,
 };
 
 function mean(values: readonly number[]): number {
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -46,10 +46,15 @@
    * Load assumed for servers without a recent report, as a share of their slots.
    */
   readonly assumedOccupancy: (failureDomain: FailureDomain) => number;
-  /** Maximum number of requests at a server with a number of slots. */
-  readonly concurrencyLimit: (slots: number) => number;
+  /** Maximum number of requests at a server at the same time. */
+  readonly concurrencyLimit: ConcurrencyLimit;
 };
 
+export type ConcurrencyLimit = (
+  slots: number,
+  serviceTimeMilliseconds: number,
+) => number;
+
 /** Cost of opening connections, which servers and entries pay for. */
 export type ConnectionCost = {
   /** Mean number of connections that a use of a server opens. */
@@ -107,6 +112,8 @@
  * domain have less than this share of their slots occupied.
  */
 const MAXIMUM_ASSUMED_OCCUPANCY = 0.35;
+/** A quarter of the mean duration of a phase. */
+const MAXIMUM_SERVER_WAIT_MILLISECONDS = 75;
 /**
  * Requests vary in size and slow phases end, so answers expected slightly after
  * the objective are often in time.
@@ -141,6 +148,22 @@
   return limit;
 }
 
+/**
+ * The limit of highest throughput, and where that takes all slots one request
+ * that queues, so that no slot is idle until an entry learns that it is free.
+ * It queues only if it starts soon, likely in the phase that is known now.
+ */
+export function limitWithQueue(
+  slots: number,
+  serviceTimeMilliseconds: number,
+): number {
+  const limit = limitOfHighestThroughput(slots);
+  if (limit < slots) return limit;
+  const wait = serviceTimeMilliseconds * contentionSlowdown(slots - 1, slots) /
+    slots;
+  return wait <= MAXIMUM_SERVER_WAIT_MILLISECONDS ? limit + 1 : limit;
+}
+
 /** Requests that end per service time when `running` of them run. */
 function throughput(running: number, slots: number): number {
   return running / contentionSlowdown(running - 1, slots);
@@ -293,9 +316,11 @@
   let hasLateCapacity = false;
   let hasUnknownCapacity = false;
   for (const server of candidates) {
-    if (estimatedLoad(server, context) >= concurrencyLimit(server.slots)) {
-      continue;
-    }
+    const limit = concurrencyLimit(
+      server.slots,
+      request.serviceTimeMilliseconds,
+    );
+    if (estimatedLoad(server, context) >= limit) continue;
     if (isProbablyBusy(server, context)) {
       hasUnknownCapacity = true;
       continue;
--- a/packages/kernel/src/placement_simulation_test.ts
+++ b/packages/kernel/src/placement_simulation_test.ts
@@ -9,10 +9,7 @@
   type SimulatedLoad,
   simulateService,
 } from "./__fixtures__/simulated_service.ts";
-import {
-  firstAttemptLimitMilliseconds,
-  limitOfHighestThroughput,
-} from "./placement.ts";
+import { firstAttemptLimitMilliseconds, limitWithQueue } from "./placement.ts";
 
 const SEEDS = [1, 2, 3];
 
@@ -45,7 +42,7 @@
 const IN_TIME: PlacementPolicy = {
   maximumExpectedMilliseconds: firstAttemptLimitMilliseconds,
   mayPlaceLate: (queueLength) => queueLength === 0,
-  concurrencyLimit: limitOfHighestThroughput,
+  concurrencyLimit: limitWithQueue,
 };
 /** All slots, and a quarter of them queued. */
 const BEYOND_KNEE = (slots: number) => slots + Math.ceil(slots / 4);
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -6,6 +6,7 @@
 import { needsLoadProbe } from "./load_probe.ts";
 import {
   limitOfHighestThroughput,
+  limitWithQueue,
   place,
   type PlacementContext,
   type PlacementRequest,
@@ -29,7 +30,7 @@
   connectionCost: { connectionsToOpen: () => 0, objectivesPerConnection: 0 },
   staleEstimate: "mean",
   assumedOccupancy: () => 0,
-  concurrencyLimit: limitOfHighestThroughput,
+  concurrencyLimit: limitWithQueue,
 };
 
 type ServerOptions = {
