Discovery: peers learn which servers expired while the history was gone

In the grace period after an outage a removal changes nothing yet, so it was not passed on, and peers at the same position kept servers that had left, as the revision that they moved to was beyond the removal.

The update now has the difference between the state and the listing. 'tells peers which servers expired in an outage with the history' failed before.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -239,10 +239,7 @@
     });
   }
 
-  #applyUpdate(
-    from: Teller,
-    apply: () => DiscoveryChange[],
-  ): DiscoveryChange[] {
+  #applyUpdate(from: Teller, apply: () => DiscoveryChange[]): void {
     const previous = this.state.position;
     const isFirst = previous.revision === 0;
     if (!isFirst && this.stateAgeMilliseconds > OUTAGE_MILLISECONDS) {
@@ -253,7 +250,6 @@
       this.#logEraChange(from, previous);
     }
     if (changes.length > 0) this.#options.onChange(changes);
-    return changes;
   }
 
   #logEraChange(from: Teller, previous: DiscoveryPosition): void {
@@ -350,16 +346,19 @@
     const previous = this.state.position;
     const isSameHistory = previous.revision > 0 && era === previous.era;
     const isKnown = isSameHistory && revision <= previous.revision;
-    const applied = this.#applyUpdate(
+    const update: DiscoveryUpdate = isSameHistory
+      ? {
+        era,
+        baseRevision: isKnown ? revision : previous.revision,
+        revision,
+        changes: isKnown ? [] : this.state.changesTo(listing),
+      }
+      : { ...listing, baseRevision: previous.revision, isListing: true };
+    this.#applyUpdate(
       "service",
       () => this.state.applyListing(listing, this.#now()),
     );
-    const baseRevision = isKnown ? revision : previous.revision;
-    this.#onSuccess(
-      isSameHistory
-        ? { era, baseRevision, revision, changes: isKnown ? [] : applied }
-        : { ...listing, baseRevision, isListing: true },
-    );
+    this.#onSuccess(update);
     return undefined;
   }
 
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -241,6 +241,28 @@
     synchronizer.stop();
   });
 
+  it("tells peers which servers expired in an outage with the history", async () => {
+    const { service, synchronizer, updates } = setUp();
+    service.changes = [registration("one", 1), registration("two", 1)];
+    synchronizer.start();
+    await advance(3_000);
+    service.behaviour = "unreachable";
+    await advance(6_000);
+    service.behaviour = "history-gone";
+    await advance(500);
+    updates.length = 0;
+    service.behaviour = "answering";
+    service.revision = 9;
+    service.changes = [registration("one", 1)];
+    await advance(1_000);
+    expect([...synchronizer.state.records.keys()]).toContain("two");
+    const sent = updates.flatMap(({ changes }) => changes);
+    expect(sent).toContainEqual(
+      expect.objectContaining({ kind: "gone", id: "two" }),
+    );
+    synchronizer.stop();
+  });
+
   it("drops at once a server removed right after the start", async () => {
     const { service, synchronizer } = setUp();
     synchronizer.start();
--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -178,20 +178,8 @@
     const isNewEra = !isFirst && era > this.#era;
     if (isNewEra) this.#leaveEra(now);
     this.#era = era;
-    const present = new Set<string>();
-    for (const change of listing.changes) {
-      if (change.kind === "registration") present.add(change.registration.id);
-    }
-    const missing: DiscoveryChange[] = [];
-    for (const [id, record] of this.#records) {
-      if (present.has(id) || record.revision > listing.revision) continue;
-      missing.push({
-        kind: "gone",
-        id,
-        reason: isNewEra ? "lost" : "removed",
-        revision: listing.revision,
-      });
-    }
+    const missing = this.#missingFrom(listing, isNewEra ? "lost" : "removed");
+    const present = registeredIds(listing);
     for (const id of this.#withheld.keys()) {
       if (!present.has(id)) this.#withheld.delete(id);
     }
@@ -202,6 +190,32 @@
     );
   }
 
+  /**
+   * The changes between this state and a listing of the same era, also those
+   * that take effect later here, such as removals in a grace period.
+   */
+  changesTo(listing: DiscoveryListing): DiscoveryChange[] {
+    const version = this.#snapshot?.version ?? -Infinity;
+    const newer = listing.changes.filter((change) =>
+      change.kind === "snapshot"
+        ? change.snapshot.version > version
+        : change.revision > this.#revision
+    );
+    return [...this.#missingFrom(listing, "removed"), ...newer];
+  }
+
+  /** Removals of the servers that are known but not listed. */
+  #missingFrom(listing: DiscoveryListing, reason: Gone["reason"]): Gone[] {
+    const present = registeredIds(listing);
+    const { revision } = listing;
+    const missing: Gone[] = [];
+    for (const [id, record] of this.#records) {
+      if (present.has(id) || record.revision > revision) continue;
+      missing.push({ kind: "gone", id, reason, revision });
+    }
+    return missing;
+  }
+
   /**
    * Drops provisional records whose grace period is over; returns their ids.
    */
@@ -405,6 +419,14 @@
   }
 }
 
+function registeredIds({ changes }: DiscoveryListing): Set<string> {
+  return new Set(
+    changes.flatMap((change) =>
+      change.kind === "registration" ? [change.registration.id] : []
+    ),
+  );
+}
+
 /** Age of a registration beside the last one of the same id. */
 function compareAge(
   registration: ServerRegistration,
