Discovery: a listing older than the state brings back no removed server

Callers could be sent to a removed server until the service was listed again.

An entry lists the service while a peer tells it of a later removal. Of such a listing only the configuration is taken now. 'does not bring back a server whose removal a peer told meanwhile' failed before.

--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -317,7 +317,7 @@
     const isFresh = this.stateAgeMilliseconds <
       settings.maximumStateAgeMilliseconds;
     const failure = this.#mustReadAll || base.revision === 0
-      ? await this.#readAll()
+      ? await this.#readAll(base)
       : await this.#watch(
         base,
         reason === "chosen" || isFresh ? settings.watchWaitMilliseconds : 0,
@@ -333,7 +333,9 @@
    * An answer without an era counts as one of the current era. Peers at the
    * position before get what it changed, or all of the first of an era.
    */
-  async #readAll(): Promise<DiscoveryFailure | undefined> {
+  async #readAll(
+    base: DiscoveryPosition,
+  ): Promise<DiscoveryFailure | undefined> {
     const answer = await this.#ask((source) => source.readAll());
     if (answer.isErr()) return answer.error;
     const { era = this.state.era, revision, changes } = answer.value;
@@ -345,6 +347,18 @@
     const listing = { era, revision, changes };
     const previous = this.state.position;
     const isSameHistory = previous.revision > 0 && era === previous.era;
+    const isOvertaken = comparePositions(base, previous) < 0 &&
+      comparePositions(listing, previous) < 0;
+    if (isOvertaken) {
+      // Peers have told later changes, so the state lacks nothing.
+      this.#applySnapshots(changes);
+      this.#onSuccess({
+        ...previous,
+        baseRevision: previous.revision,
+        changes: [],
+      });
+      return undefined;
+    }
     const isKnown = isSameHistory && revision <= previous.revision;
     const update: DiscoveryUpdate = isSameHistory
       ? {
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -263,6 +263,29 @@
     synchronizer.stop();
   });
 
+  it("does not bring back a server whose removal a peer told meanwhile", async () => {
+    const { service, synchronizer } = setUp();
+    synchronizer.start();
+    await advance(3_000);
+    service.behaviour = "history-gone";
+    await advance(100);
+    service.behaviour = "answering";
+    const listing = { era: undefined, revision: 1, changes: service.changes };
+    service.readAll = () => {
+      service.revision = 2;
+      service.changes = [];
+      const changes: DiscoveryChange[] = [
+        { kind: "gone", id: "one", revision: 2, reason: "removed" },
+      ];
+      const update = { baseRevision: 1, revision: 2, changes };
+      synchronizer.applyPeerUpdate(update, 0);
+      return Promise.resolve(ok(listing));
+    };
+    await advance(1_000);
+    expect(synchronizer.state.records.has("one")).toBe(false);
+    synchronizer.stop();
+  });
+
   it("drops at once a server removed right after the start", async () => {
     const { service, synchronizer } = setUp();
     synchronizer.start();
