Placement: the limit of a server takes no time to find

Callers would wait tens of milliseconds more for every request of a service, and the entry with them, if one of its servers registered with a million slots.

Cause: the number of requests at which a server ends most per second was searched for by trying all numbers up to its slots, for each server in each placement. A registration may have up to 1,000,000 slots; the search took 4.7 ms then, and a request is placed up to ten times as its servers are probed.

Change: it is the load at the knee, or all slots where that ends more.

'is found at once for as many slots as a registration may have' failed before: 425 ms for 100 calls.

--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -141,11 +141,9 @@
  * phase.
  */
 export function limitOfHighestThroughput(slots: number): number {
-  let limit = 1;
-  for (let running = 2; running <= slots; running++) {
-    if (throughput(running, slots) > throughput(limit, slots)) limit = running;
-  }
-  return limit;
+  // Up to the knee, and again beyond it, more requests mean more throughput.
+  const atKnee = Math.floor(KNEE_OCCUPANCY * slots);
+  return throughput(atKnee, slots) >= throughput(slots, slots) ? atKnee : slots;
 }
 
 /**
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -201,6 +201,14 @@
       8,
     ]);
   });
+
+  it("is found at once for as many slots as a registration may have", () => {
+    const start = performance.now();
+    for (let round = 0; round < 100; round++) {
+      expect(limitOfHighestThroughput(1_000_000)).toBe(800_000);
+    }
+    expect(performance.now() - start).toBeLessThan(50);
+  });
 });
 
 describe("ServerLoad", () => {
