Placement: assume no load from reports that are long out of date

Callers of a service whose servers cannot be probed for the moment, as the budget for probes is used up or no health path is known, were refused for lack of capacity although its servers had been idle for seconds: since, servers without a recent report count as busy while the mean load of the last reports is high.

Cause: the mean weighs reports by their age, but only relative to each other. Where all are old, the least old one decides, up to 223 s, when its weight is zero at last. As no request is sent, no new report comes.

Change: reports older than a second are left out. In an overload servers report more often than that.

Both tests failed before: 'does not assume the load of reports that are long out of date' (1 in place of 0), 'uses servers that cannot be probed, though they were busy long ago' (full).

--- a/packages/gateway/src/placer_test.ts
+++ b/packages/gateway/src/placer_test.ts
@@ -7,6 +7,7 @@
 import { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { FailureDomain } from "@marigoldford/kernel/types";
 import { Placer, type PlacerOptions } from "./placer.ts";
+import type { Prober } from "./prober.ts";
 
 const NOW = 10_000;
 const SLOTS = 6;
@@ -32,15 +33,11 @@
   return new ServerLoad(registration, 0);
 }
 
-/** Places a request with no reports at first, and counts the probes. */
-async function placeWithProbes(
-  runningIn: Readonly<Record<FailureDomain, number>>,
-): Promise<{ result: PlacementResult; probed: FailureDomain[] }> {
-  const servers = Object.keys(runningIn).flatMap((failureDomain) =>
-    Array.from({ length: 20 }, (_, index) => makeServer(failureDomain, index))
-  );
-  const probed: FailureDomain[] = [];
-  const placer = new Placer({
+function makePlacer(
+  servers: readonly ServerLoad[],
+  probeForRequest: Prober["probeForRequest"],
+): Placer {
+  return new Placer({
     clock: () => NOW,
     random: () => 0.5,
     failureDomain: OWN,
@@ -54,20 +51,13 @@
     } as unknown as PlacerOptions["servers"],
     prober: {
       isConnected: () => true,
-      probeForRequest: (server: ServerLoad) => {
-        const { failureDomain } = server.registration;
-        probed.push(failureDomain);
-        server.recordReport({
-          running: runningIn[failureDomain],
-          waiting: 0,
-          slots: SLOTS,
-          slowdown: 1,
-        }, NOW);
-        return Promise.resolve("answered" as const);
-      },
+      probeForRequest,
     } as unknown as PlacerOptions["prober"],
   });
-  const result = await placer.chooseAfterProbing("desk", {
+}
+
+function placeAt(placer: Placer): Promise<PlacementResult> {
+  return placer.chooseAfterProbing("desk", {
     serviceTimeMilliseconds: 350,
     objectiveMilliseconds: 800,
     answerBytes: 2_000,
@@ -75,7 +65,28 @@
     maximumCrossDomainCostObjectives: Infinity,
     maximumExpectedMilliseconds: 960,
   }, () => 4_000);
-  return { result, probed };
+}
+
+/** Places a request with no reports at first, and counts the probes. */
+async function placeWithProbes(
+  runningIn: Readonly<Record<FailureDomain, number>>,
+): Promise<{ result: PlacementResult; probed: FailureDomain[] }> {
+  const servers = Object.keys(runningIn).flatMap((failureDomain) =>
+    Array.from({ length: 20 }, (_, index) => makeServer(failureDomain, index))
+  );
+  const probed: FailureDomain[] = [];
+  const placer = makePlacer(servers, (server) => {
+    const { failureDomain } = server.registration;
+    probed.push(failureDomain);
+    server.recordReport({
+      running: runningIn[failureDomain],
+      waiting: 0,
+      slots: SLOTS,
+      slowdown: 1,
+    }, NOW);
+    return Promise.resolve("answered");
+  });
+  return { result: await placeAt(placer), probed };
 }
 
 describe("probes before a placement", () => {
@@ -96,3 +107,11 @@
     expect(probed).toEqual([OWN]);
   });
 });
+
+it("uses servers that cannot be probed, though they were busy long ago", async () => {
+  const server = makeServer(OWN, 1);
+  const report = { running: SLOTS, waiting: 0, slots: SLOTS, slowdown: 1 };
+  server.recordReport(report, NOW - 5_000);
+  const placer = makePlacer([server], () => Promise.resolve("unasked"));
+  expect(await placeAt(placer)).toMatchObject({ kind: "placed" });
+});
--- a/packages/kernel/src/reported_occupancy.ts
+++ b/packages/kernel/src/reported_occupancy.ts
@@ -12,6 +12,8 @@
 
 /** Time constant of the decay of a report; load changes within a second. */
 const DECAY_MILLISECONDS = 300;
+/** Older reports say nothing of the current load. */
+const MAXIMUM_AGE_MILLISECONDS = 1_000;
 /** Weight of the mean of the service in that of a failure domain, in reports. */
 const SERVICE_WEIGHT = 1;
 
@@ -32,7 +34,7 @@
 
 /**
  * Returns the mean occupancy of the servers of a failure domain by the reports
- * of `servers`, as a share of their slots. Zero if there are none.
+ * of `servers`, as a share of their slots. Zero without recent ones.
  */
 export function reportedOccupancy(
   servers: readonly ServerLoad[],
@@ -43,8 +45,10 @@
   for (const { lastReport, registration: { failureDomain } } of servers) {
     if (lastReport === undefined) continue;
     const { running, waiting, slots, atMilliseconds } = lastReport;
+    const age = now - atMilliseconds;
+    if (age > MAXIMUM_AGE_MILLISECONDS) continue;
     const occupancy = (running + waiting) / slots;
-    const weight = Math.exp((atMilliseconds - now) / DECAY_MILLISECONDS);
+    const weight = Math.exp(-age / DECAY_MILLISECONDS);
     ofService.add(occupancy, weight);
     const ofDomain = ofDomains.get(failureDomain) ?? new WeightedMean();
     ofDomain.add(occupancy, weight);
--- a/packages/kernel/src/reported_occupancy_test.ts
+++ b/packages/kernel/src/reported_occupancy_test.ts
@@ -33,6 +33,11 @@
   expect(reportedOccupancy(servers, NOW)("a")).toBeGreaterThan(0.9);
 });
 
+it("does not assume the load of reports that are long out of date", () => {
+  const servers = [makeServer("a", 6, 5_000), makeServer("a", 6, 60_000)];
+  expect(reportedOccupancy(servers, NOW)("a")).toBe(0);
+});
+
 it("does not take a failure domain for as busy as another one", () => {
   const servers = [0, 10, 20].flatMap((age) => [
     makeServer("busy", 6, age),
