Placement: average the reports of a service only where that is used

Callers of large fleets waited for the entry's processor.

Cause: each selection averages the reports of all servers of a service. A request makes up to ten selections to find what to probe, for which the average is not used.

Change: it is left out there.

'does not average the reports of a large service to select what to probe' failed before (600 reads).

--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -69,7 +69,9 @@
         objectivesPerConnection,
       },
       staleEstimate,
-      assumedOccupancy: reportedOccupancy(servers, now),
+      assumedOccupancy: staleEstimate === "optimistic"
+        ? () => 0
+        : reportedOccupancy(servers, now),
       concurrencyLimit: limitWithQueue,
     });
   }
--- a/packages/gateway/src/placer_test.ts
+++ b/packages/gateway/src/placer_test.ts
@@ -115,3 +115,23 @@
   const placer = makePlacer([server], () => Promise.resolve("unasked"));
   expect(await placeAt(placer)).toMatchObject({ kind: "placed" });
 });
+
+it("does not average the reports of a large service to select what to probe", async () => {
+  const servers = Array.from(
+    { length: 600 },
+    (_, index) => makeServer(OWN, index),
+  );
+  const report = { running: 0, waiting: 0, slots: SLOTS, slowdown: 1 };
+  let reads = 0;
+  for (const server of servers) {
+    server.recordReport(report, NOW);
+    const read = () => {
+      reads += 1;
+      return undefined;
+    };
+    Object.defineProperty(server, "lastReport", { get: read });
+  }
+  const placer = makePlacer(servers, () => Promise.resolve("answered"));
+  expect(await placeAt(placer)).toMatchObject({ kind: "placed" });
+  expect(reads).toBe(0);
+});
