Messages of peers: a flag that is none refuses the message

Callers would have found no server at an entry that took a peer's few changes for all that exists: 'isListing' was used without a check, and any value but an empty one counted as true. 'isForDomain' was not checked either.

Change: both are read as booleans; a message with another value is refused, as with any other field.

'whose isListing is no flag is refused' and the same of isForDomain failed before.

--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -18,6 +18,7 @@
   type JsonObject,
   malformed,
   readArray,
+  readBoolean,
   readInteger,
   readNumber,
   readObject,
@@ -257,12 +258,26 @@
         readInteger(message.revision, "revision"),
         readChanges(message.changes, onIgnored),
         readAge(message.ageMilliseconds),
-      ]).map(([era, baseRevision, revision, changes, ageMilliseconds]) => ({
+        readOptional(message, "isListing", readBoolean),
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map((
+        [
+          era,
+          baseRevision,
+          revision,
+          changes,
+          ageMilliseconds,
+          isListing,
+          isForDomain,
+        ],
+      ) => ({
         ...era,
         baseRevision,
         revision,
         changes,
         ageMilliseconds,
+        ...isListing,
+        ...isForDomain,
       }));
     case "reading-request":
       return ok({});
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -221,6 +221,14 @@
     );
   });
 
+  it.each(["isListing", "isForDomain"])(
+    "whose %s is no flag is refused",
+    (name) => {
+      const frame = { ...FRAMES[0], [name]: "no" };
+      expect(decodeFleetFrame(encode(frame)).isErr()).toBe(true);
+    },
+  );
+
   it("nested deeply is refused", () => {
     for (const depth of [10, 1_000, 60_000, 4_000_000]) {
       expect(decodeDatagram(nest(depth)).isErr()).toBe(true);
--- a/packages/kernel/src/field_readers.ts
+++ b/packages/kernel/src/field_readers.ts
@@ -67,6 +67,15 @@
     : malformed(path, value, expected);
 }
 
+export function readBoolean(
+  value: unknown,
+  path: string,
+): Result<boolean, ValueMalformed> {
+  return typeof value === "boolean"
+    ? ok(value)
+    : malformed(path, value, "true or false");
+}
+
 /** Both ends are allowed. */
 export type NumberRange = {
   /** 0 if it is left out. */
