--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -6,9 +6,14 @@
 import { encode } from "cbor-x";
 import fastCheck from "fast-check";
 import { describe, expect, it } from "vitest";
+import {
+  positionOf,
+  type ToldPosition,
+} from "@marigoldford/kernel/discovery_position";
 import {
   decodeDatagram,
   decodeFleetFrame,
+  type DiscoveryFreshness,
   encodeFleetMessage,
   type FleetDatagram,
   type FleetFrame,
@@ -56,7 +61,7 @@
     idleTimeoutMilliseconds: 1_000,
   },
 } as const;
-const NEWS = { revision: 9, ageMilliseconds: 3.5 };
+const NEWS = { era: 3, revision: 9, snapshotVersion: 2, ageMilliseconds: 3.5 };
 const BYTES = new Uint8Array(9);
 
 const DATAGRAMS: readonly FleetDatagram[] = [
@@ -97,12 +102,19 @@
 ];
 const CHANGES = [
   { kind: "snapshot", snapshot: SNAPSHOT },
-  { kind: "registration", revision: 5, registration: REGISTRATION },
+  {
+    kind: "registration",
+    revision: 5,
+    registration: REGISTRATION,
+    graceMilliseconds: 1_500.5,
+    withheldMilliseconds: 4_000,
+  },
   { kind: "gone", revision: 6, id: "server-2", reason: "removed" },
 ] as const;
 const FRAMES: readonly FleetFrame[] = [
   {
     kind: "changes",
+    era: 3,
     baseRevision: 4,
     revision: 9,
     changes: CHANGES,
@@ -113,7 +125,7 @@
   { kind: "reading-request" },
   {
     kind: "reading",
-    reading: { revision: 9, changes: CHANGES },
+    reading: { era: 3, revision: 9, changes: CHANGES },
     ageMilliseconds: 12,
   },
 ];
@@ -247,8 +259,9 @@
         expect(Number.isSafeInteger(record.counter)).toBe(true);
       }
       expect(message.heartbeats).toBeInstanceOf(Uint8Array);
-      expect(Number.isSafeInteger(message.news.revision)).toBe(true);
-      return;
+      return expectUsableFreshness(message.news);
+    case "news":
+      return expectUsableFreshness(message.news);
     case "who":
       return message.tags.forEach((tag) => expect(tag).toBeTypeOf("number"));
     case "load":
@@ -256,15 +269,28 @@
       expect(message.reports).toBeInstanceOf(Uint8Array);
       return;
     case "changes":
+      expectUsablePosition(message);
       return expectUsableChanges(message.changes);
     case "reading":
-      expect(Number.isSafeInteger(message.reading.revision)).toBe(true);
+      expectUsablePosition(message.reading);
       return expectUsableChanges(message.reading.changes);
     default:
       return;
   }
 }
 
+function expectUsableFreshness(news: DiscoveryFreshness): void {
+  expectUsablePosition(news);
+  expect(Number.isSafeInteger(news.snapshotVersion ?? 0)).toBe(true);
+  expect(news.ageMilliseconds).toBeGreaterThanOrEqual(0);
+}
+
+function expectUsablePosition(told: ToldPosition): void {
+  const { era, revision } = positionOf(told);
+  expect(Number.isSafeInteger(era)).toBe(true);
+  expect(Number.isSafeInteger(revision)).toBe(true);
+}
+
 function expectUsableChanges(
   changes: Extract<FleetFrame, { kind: "changes" }>["changes"],
 ): void {
@@ -273,6 +299,11 @@
       expect(change.registration.address).toMatch(/^10\.0\.0\.[19]:80$/);
       expect(change.registration.slots).toBeGreaterThan(0);
       expect(change.registration.id).toMatch(/^[!-~]+$/);
+      const { graceMilliseconds = 0, withheldMilliseconds = 0 } = change;
+      for (const milliseconds of [graceMilliseconds, withheldMilliseconds]) {
+        expect(milliseconds).toBeGreaterThanOrEqual(0);
+        expect(milliseconds).toBeLessThan(2 ** 31);
+      }
     }
     if (change.kind !== "snapshot") continue;
     for (const route of change.snapshot.routes) {
