--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -1,7 +1,8 @@
 /**
  * Tests that an entry keeps its discovery state through refusals, outages, a
  * lost history of the service and its return from a copy, and calls the service
- * itself when its peers no longer send updates. Timers and the discovery service are fakes.
+ * itself when its peers no longer send updates. Timers and the discovery
+ * service are fakes.
  */
 import { err, ok, type Result } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
--- a/packages/http_answers/src/end_after_request.ts
+++ b/packages/http_answers/src/end_after_request.ts
@@ -2,9 +2,10 @@
  * Ends an answer that is given before its request has been read completely.
  *
  * The rest of the request is discarded: on a connection that stays open, the
- * next request follows it. If the connection is to be closed, closing it at once would reset it, because
- * bytes of the request are unread. The reset makes the caller's own write fail
- * and discards the answer that it has not read yet (RFC 9112, section 9.6).
+ * next request follows it. If the connection is to be closed, closing it at
+ * once would reset it, because bytes of the request are unread. The reset makes
+ * the caller's own write fail and discards the answer that it has not read yet
+ * (RFC 9112, section 9.6).
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
