Gateway: the exchange of discovery state gets a module of its own

No change of behaviour: sending updates to peers, forwarding them inside a failure domain and requesting a peer's state move from gateway.ts, so that tests can play a fleet of them over links of limited rate.

--- /dev/null
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -0,0 +1,141 @@
+/**
+ * Exchanges discovery state with the other entries: sends them what the
+ * discovery service answered, forwards changes inside the own failure domain,
+ * and requests the whole state of a peer where changes are missing.
+ */
+import { splitAddress } from "@marigoldford/kernel/address";
+import {
+  comparePositions,
+  positionOf,
+} from "@marigoldford/kernel/discovery_position";
+import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
+import {
+  MissingRevision,
+  type StateProgress,
+} from "@marigoldford/kernel/missing_revision";
+import type { Address, Clock, FailureDomain } from "@marigoldford/kernel/types";
+import type { DatagramSocket } from "./datagram_socket.ts";
+import type {
+  DiscoverySynchronizer,
+  DiscoveryUpdate,
+} from "./discovery_synchronizer.ts";
+import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
+import type { DiscoveryFreshness, FleetFrame } from "./fleet_messages.ts";
+import type { FrameConnections, FrameReply } from "./frame_connections.ts";
+
+export type DiscoveryExchangeOptions = {
+  readonly self: string;
+  readonly failureDomain: FailureDomain;
+  /** Every entry uses the port of this address for frames. */
+  readonly meshAddress: Address;
+  readonly clock: Clock;
+  readonly discovery: DiscoverySynchronizer;
+  readonly peers: () => readonly MemberRecord[];
+  readonly datagramSocket: Pick<DatagramSocket, "send">;
+  readonly frameConnections: Pick<FrameConnections, "send">;
+};
+
+type ChangesFrame = Extract<FleetFrame, { kind: "changes" }>;
+
+const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
+/** Entries of another failure domain that get changes without a relay. */
+const MAXIMUM_DIRECT_RECEIVERS = 8;
+
+export class DiscoveryExchange {
+  readonly #options: DiscoveryExchangeOptions;
+  readonly #missingRevision: MissingRevision;
+  #listingRequestedAt = -Infinity;
+
+  constructor(options: DiscoveryExchangeOptions) {
+    this.#options = options;
+    this.#missingRevision = new MissingRevision(options.clock);
+  }
+
+  /** Sends peers what the discovery service has answered. */
+  sendUpdate(update: DiscoveryUpdate): void {
+    const { self, failureDomain, discovery } = this.#options;
+    const peers = this.#options.peers();
+    if (update.changes.length === 0) {
+      this.#options.datagramSocket.send(
+        peers.map(({ datagramAddress }) => datagramAddress),
+        { kind: "news", from: self, news: discovery.freshness },
+      );
+      return;
+    }
+    const frame = { kind: "changes", ...update, ageMilliseconds: 0 } as const;
+    const others = receiversInOtherDomains(
+      { incarnation: self, failureDomain },
+      peers,
+      MAXIMUM_DIRECT_RECEIVERS,
+    );
+    this.#sendFrame(peersInDomain(peers, failureDomain), frame);
+    this.#sendFrame(others.direct, frame);
+    this.#sendFrame(others.relays, { ...frame, isForDomain: true });
+  }
+
+  /** Records how fresh the state of a peer is, which may be ahead. */
+  receiveFreshness(freshness: DiscoveryFreshness, sender: Address): void {
+    const { discovery, meshAddress, frameConnections } = this.#options;
+    if (discovery.recordPeerFreshness(freshness)) return;
+    const { port } = splitAddress(meshAddress);
+    const { host } = splitAddress(sender);
+    const { snapshotVersion = 0 } = freshness;
+    this.#requestListing(
+      { ...positionOf(freshness), snapshotVersion },
+      () =>
+        frameConnections.send(`${host}:${port}`, { kind: "reading-request" }),
+    );
+  }
+
+  receiveFrame(frame: FleetFrame, reply: FrameReply): void {
+    const { discovery, clock } = this.#options;
+    switch (frame.kind) {
+      case "changes":
+        this.#relay(frame);
+        if (!discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
+          this.#requestListing(
+            { ...positionOf(frame), snapshotVersion: 0 },
+            () => reply({ kind: "reading-request" }),
+          );
+        }
+        return;
+      case "reading-request": {
+        const { ageMilliseconds } = discovery.freshness;
+        const reading = discovery.state.listing(clock());
+        reply({ kind: "reading", reading, ageMilliseconds });
+        return;
+      }
+      case "reading":
+        discovery.applyPeerListing(frame.reading, frame.ageMilliseconds);
+        return;
+    }
+  }
+
+  /** Forwards changes to the own failure domain, unless it has them already. */
+  #relay(frame: ChangesFrame): void {
+    if (!frame.isForDomain) return;
+    const { discovery, peers, failureDomain } = this.#options;
+    const { position } = discovery.state;
+    if (comparePositions(positionOf(frame), position) <= 0) return;
+    this.#sendFrame(peersInDomain(peers(), failureDomain), {
+      ...frame,
+      isForDomain: false,
+    });
+  }
+
+  #sendFrame(to: readonly MemberRecord[], frame: FleetFrame): void {
+    for (const { meshAddress } of to) {
+      this.#options.frameConnections.send(meshAddress, frame);
+    }
+  }
+
+  /** Requests a listing unless it, or the missing changes, are on their way. */
+  #requestListing(peer: StateProgress, send: () => void): void {
+    const { discovery, clock } = this.#options;
+    if (!this.#missingRevision.mustRequest(peer, discovery.progress)) return;
+    const elapsed = clock() - this.#listingRequestedAt;
+    if (elapsed < LISTING_REQUEST_INTERVAL_MILLISECONDS) return;
+    this.#listingRequestedAt = clock();
+    send();
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,18 +7,10 @@
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
 import { splitAddress } from "@marigoldford/kernel/address";
-import {
-  comparePositions,
-  positionOf,
-} from "@marigoldford/kernel/discovery_position";
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import { entriesForCaller } from "@marigoldford/kernel/entries_for_caller";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import { isAcceptedWhileLeaving } from "@marigoldford/kernel/leaving_admission";
-import {
-  MissingRevision,
-  type StateProgress,
-} from "@marigoldford/kernel/missing_revision";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
 import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
@@ -29,21 +21,14 @@
 import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
-import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
-import {
-  DiscoverySynchronizer,
-  type DiscoveryUpdate,
-} from "./discovery_synchronizer.ts";
+import { DiscoveryExchange } from "./discovery_exchange.ts";
+import { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
 import { makeEventWriter, type WriteEvent } from "./events.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import { FleetMembership } from "./fleet_membership.ts";
-import type {
-  DiscoveryFreshness,
-  FleetDatagram,
-  FleetFrame,
-} from "./fleet_messages.ts";
-import { FrameConnections, type FrameReply } from "./frame_connections.ts";
+import type { FleetDatagram } from "./fleet_messages.ts";
+import { FrameConnections } from "./frame_connections.ts";
 import { CallServer } from "./call_server.ts";
 import { LoadExchange } from "./load_exchange.ts";
 import { GatewayMetrics } from "./metrics.ts";
@@ -77,10 +62,7 @@
 const PAUSE_THRESHOLD_MILLISECONDS = 600;
 /** Also the interval at which statements of servers that are gone expire. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5_000;
-const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
 const MILLISECONDS_IN_SECOND = 1_000;
-/** Entries of another failure domain that get changes without a relay. */
-const MAXIMUM_DIRECT_RECEIVERS = 8;
 /** Time from the exit of the process to the end of the grace period. */
 const EXIT_MARGIN_MILLISECONDS = 500;
 /**
@@ -163,6 +145,7 @@
   readonly #datagramSocket: DatagramSocket;
   readonly #frameConnections: FrameConnections;
   readonly #discovery: DiscoverySynchronizer;
+  readonly #exchange: DiscoveryExchange;
   readonly #fleet: FleetMembership;
   readonly #loadExchange: LoadExchange;
   readonly #prober: Prober;
@@ -173,8 +156,6 @@
   readonly #auxiliaryServers: AuxiliaryServer[];
   readonly #timers: ReturnType<typeof setInterval>[] = [];
   readonly #startedAt = performance.now();
-  readonly #missingRevision = new MissingRevision(this.#clock);
-  #listingRequestedAt = -Infinity;
   #leaveRequestedAt = Infinity;
   #wallClockOffset = Date.now() - performance.now();
 
@@ -205,7 +186,7 @@
     this.#frameConnections = new FrameConnections({
       listenAddress: instance.meshAddress,
       idleMilliseconds: TUNING.meshIdleTimeoutMilliseconds,
-      onFrame: (frame, reply) => this.#onFrame(frame, reply),
+      onFrame: (frame, reply) => this.#exchange.receiveFrame(frame, reply),
       onRefused: (peer, detail) => this.#logRefusedMessage(peer, detail),
     });
     this.#fleet = this.#makeFleet();
@@ -230,13 +211,23 @@
       eligibleWatchers: () =>
         this.#nonLeavingMembers().map(({ incarnation }) => incarnation),
       onChange: (changes) => this.#onDiscoveryChange(changes),
-      onUpdate: (update) => this.#sendUpdateToPeers(update),
+      onUpdate: (update) => this.#exchange.sendUpdate(update),
       writeEvent: this.#writeEvent,
       onServiceCall: (outcome) =>
         this.#metrics.incrementCounter(
           `discovery_calls_${outcome.replaceAll("-", "_")}`,
         ),
     });
+    this.#exchange = new DiscoveryExchange({
+      self: this.#incarnation,
+      failureDomain: instance.failureDomain,
+      meshAddress: instance.meshAddress,
+      clock,
+      discovery: this.#discovery,
+      peers: () => this.#fleet.members.livePeers(),
+      datagramSocket: this.#datagramSocket,
+      frameConnections: this.#frameConnections,
+    });
     this.#loadExchange = new LoadExchange({
       self: this.#incarnation,
       failureDomain: instance.failureDomain,
@@ -505,65 +496,18 @@
     });
   }
 
-  #sendUpdateToPeers(update: DiscoveryUpdate): void {
-    const peers = this.#fleet.members.livePeers();
-    if (update.changes.length === 0) {
-      this.#datagramSocket.send(
-        peers.map(({ datagramAddress }) => datagramAddress),
-        {
-          kind: "news",
-          from: this.#incarnation,
-          news: this.#discovery.freshness,
-        },
-      );
-      return;
-    }
-    const { failureDomain } = this.#options.instance;
-    const self = { incarnation: this.#incarnation, failureDomain };
-    const frame = { kind: "changes", ...update, ageMilliseconds: 0 } as const;
-    const others = receiversInOtherDomains(
-      self,
-      peers,
-      MAXIMUM_DIRECT_RECEIVERS,
-    );
-    this.#sendFrame(peersInDomain(peers, failureDomain), frame);
-    this.#sendFrame(others.direct, frame);
-    this.#sendFrame(others.relays, { ...frame, isForDomain: true });
-  }
-
-  #sendFrame(to: readonly MemberRecord[], frame: FleetFrame): void {
-    for (const { meshAddress } of to) {
-      this.#frameConnections.send(meshAddress, frame);
-    }
-  }
-
-  /** Forwards changes to the own failure domain, unless it has them already. */
-  #relayChanges(frame: Extract<FleetFrame, { kind: "changes" }>): void {
-    if (!frame.isForDomain) return;
-    const { position } = this.#discovery.state;
-    if (comparePositions(positionOf(frame), position) <= 0) return;
-    const peers = this.#fleet.members.livePeers();
-    this.#sendFrame(
-      peersInDomain(peers, this.#options.instance.failureDomain),
-      {
-        ...frame,
-        isForDomain: false,
-      },
-    );
-  }
-
   #onDatagram(datagram: FleetDatagram, sender: Address): void {
     if (datagram.from === this.#incarnation) return;
     switch (datagram.kind) {
       case "members":
         this.#fleet.receive(datagram, sender);
-        this.#recordPeerFreshness(datagram.news, sender);
+        this.#exchange.receiveFreshness(datagram.news, sender);
         return;
       case "who":
         this.#fleet.sendRecords(datagram, sender);
         return;
       case "news":
-        this.#recordPeerFreshness(datagram.news, sender);
+        this.#exchange.receiveFreshness(datagram.news, sender);
         return;
       case "load":
         this.#loadExchange.receive(datagram);
@@ -577,56 +521,6 @@
     }
   }
 
-  #recordPeerFreshness(
-    freshness: DiscoveryFreshness,
-    sender: Address,
-  ): void {
-    if (this.#discovery.recordPeerFreshness(freshness)) return;
-    const { port } = splitAddress(this.#options.instance.meshAddress);
-    const { host } = splitAddress(sender);
-    const { snapshotVersion = 0 } = freshness;
-    this.#requestListing(
-      { ...positionOf(freshness), snapshotVersion },
-      () =>
-        this.#frameConnections.send(`${host}:${port}`, {
-          kind: "reading-request",
-        }),
-    );
-  }
-
-  /** Requests a listing unless it, or the missing changes, are on their way. */
-  #requestListing(peer: StateProgress, send: () => void): void {
-    const { progress } = this.#discovery;
-    if (!this.#missingRevision.mustRequest(peer, progress)) return;
-    const elapsed = this.#clock() - this.#listingRequestedAt;
-    if (elapsed < LISTING_REQUEST_INTERVAL_MILLISECONDS) return;
-    this.#listingRequestedAt = this.#clock();
-    send();
-  }
-
-  #onFrame(frame: FleetFrame, reply: FrameReply): void {
-    switch (frame.kind) {
-      case "changes":
-        this.#relayChanges(frame);
-        if (!this.#discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
-          this.#requestListing(
-            { ...positionOf(frame), snapshotVersion: 0 },
-            () => reply({ kind: "reading-request" }),
-          );
-        }
-        return;
-      case "reading-request": {
-        const { ageMilliseconds } = this.#discovery.freshness;
-        const reading = this.#discovery.state.listing(this.#clock());
-        reply({ kind: "reading", reading, ageMilliseconds });
-        return;
-      }
-      case "reading":
-        this.#discovery.applyPeerListing(frame.reading, frame.ageMilliseconds);
-        return;
-    }
-  }
-
   #logRefusedMessage(peer: string, detail: string): void {
     this.#writeEvent({ event: "peer-message-refused", peer, detail });
   }
