Observability: how long discovery state waits on its way, and the event loop

Messages with discovery state carry their departure; what one takes beyond the fastest of its sender was spent waiting. Nothing is decided by it yet.

--- a/packages/gateway/src/discovery_exchange.ts
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -13,6 +13,10 @@
   MissingRevision,
   type StateProgress,
 } from "@marigoldford/kernel/missing_revision";
+import {
+  type Departure,
+  TransitDelays,
+} from "@marigoldford/kernel/transit_delay";
 import type { Address, Clock, FailureDomain } from "@marigoldford/kernel/types";
 import type { DatagramSocket } from "./datagram_socket.ts";
 import type {
@@ -20,6 +24,7 @@
   DiscoveryUpdate,
 } from "./discovery_synchronizer.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
+import type { WriteEvent } from "./events.ts";
 import type { DiscoveryFreshness, FleetFrame } from "./fleet_messages.ts";
 import type { FrameConnections, FrameReply } from "./frame_connections.ts";
 
@@ -33,6 +38,7 @@
   readonly peers: () => readonly MemberRecord[];
   readonly datagramSocket: Pick<DatagramSocket, "send">;
   readonly frameConnections: Pick<FrameConnections, "send">;
+  readonly writeEvent: WriteEvent;
 };
 
 type ChangesFrame = Extract<FleetFrame, { kind: "changes" }>;
@@ -44,25 +50,45 @@
 export class DiscoveryExchange {
   readonly #options: DiscoveryExchangeOptions;
   readonly #missingRevision: MissingRevision;
+  readonly #transitDelays: TransitDelays;
   #listingRequestedAt = -Infinity;
 
   constructor(options: DiscoveryExchangeOptions) {
     this.#options = options;
     this.#missingRevision = new MissingRevision(options.clock);
+    this.#transitDelays = new TransitDelays(options.clock);
+  }
+
+  /** How fresh the state of this entry is, for a message that is sent now. */
+  freshness(): DiscoveryFreshness {
+    return {
+      ...this.#options.discovery.freshness,
+      departure: this.#departure(),
+    };
+  }
+
+  /** Forgets what is known of the messages of entries that are gone. */
+  expire(): void {
+    this.#transitDelays.expire();
   }
 
   /** Sends peers what the discovery service has answered. */
   sendUpdate(update: DiscoveryUpdate): void {
-    const { self, failureDomain, discovery } = this.#options;
+    const { self, failureDomain } = this.#options;
     const peers = this.#options.peers();
     if (update.changes.length === 0) {
       this.#options.datagramSocket.send(
         peers.map(({ datagramAddress }) => datagramAddress),
-        { kind: "news", from: self, news: discovery.freshness },
+        { kind: "news", from: self, news: this.freshness() },
       );
       return;
     }
-    const frame = { kind: "changes", ...update, ageMilliseconds: 0 } as const;
+    const frame = {
+      kind: "changes",
+      ...update,
+      ageMilliseconds: 0,
+      departure: this.#departure(),
+    } as const;
     const others = receiversInOtherDomains(
       { incarnation: self, failureDomain },
       peers,
@@ -76,6 +102,7 @@
   /** Records how fresh the state of a peer is, which may be ahead. */
   receiveFreshness(freshness: DiscoveryFreshness, sender: Address): void {
     const { discovery, meshAddress, frameConnections } = this.#options;
+    this.#waitedMilliseconds(freshness.departure);
     if (discovery.recordPeerFreshness(freshness)) return;
     const { port } = splitAddress(meshAddress);
     const { host } = splitAddress(sender);
@@ -91,6 +118,7 @@
     const { discovery, clock } = this.#options;
     switch (frame.kind) {
       case "changes":
+        this.#logChanges(frame);
         this.#relay(frame);
         if (!discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
           this.#requestListing(
@@ -102,7 +130,8 @@
       case "reading-request": {
         const { ageMilliseconds } = discovery.freshness;
         const reading = discovery.state.listing(clock());
-        reply({ kind: "reading", reading, ageMilliseconds });
+        const departure = this.#departure();
+        reply({ kind: "reading", reading, ageMilliseconds, departure });
         return;
       }
       case "reading":
@@ -119,10 +148,36 @@
     if (comparePositions(positionOf(frame), position) <= 0) return;
     this.#sendFrame(peersInDomain(peers(), failureDomain), {
       ...frame,
+      departure: this.#departure(),
       isForDomain: false,
     });
   }
 
+  #departure(): Departure {
+    const { self, clock } = this.#options;
+    return { clock: self, atMilliseconds: clock() };
+  }
+
+  /** Time that a message which arrives now has waited on its way, if known. */
+  #waitedMilliseconds(departure: Departure | undefined): number | undefined {
+    if (departure === undefined) return undefined;
+    return this.#transitDelays.record(departure);
+  }
+
+  #logChanges(frame: ChangesFrame): void {
+    const { discovery, writeEvent } = this.#options;
+    const waitedMilliseconds = this.#waitedMilliseconds(frame.departure);
+    writeEvent({
+      event: "changes-received",
+      revision: frame.revision,
+      baseRevision: frame.baseRevision,
+      ownRevision: discovery.state.revision,
+      ownAgeMilliseconds: discovery.freshness.ageMilliseconds,
+      waitedMilliseconds: Math.round(waitedMilliseconds ?? -1),
+      from: frame.departure?.clock ?? "",
+    });
+  }
+
   #sendFrame(to: readonly MemberRecord[], frame: FleetFrame): void {
     for (const { meshAddress } of to) {
       this.#options.frameConnections.send(meshAddress, frame);
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -51,6 +51,19 @@
     reason: string;
     revision: number;
   }
+  | {
+    /** Written before the changes are applied. */
+    event: "changes-received";
+    /** Incarnation of the entry that sent them. */
+    from: string;
+    baseRevision: number;
+    revision: number;
+    ownRevision: number;
+    /** Age of the state of this entry. */
+    ownAgeMilliseconds: number;
+    /** Time on the way beyond the shortest of the sender; -1 if unknown. */
+    waitedMilliseconds: number;
+  }
   | { event: "history-reread"; reason: string; revision: number }
   | {
     event: "discovery-era-changed";
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -34,14 +34,17 @@
 } from "@marigoldford/kernel/foreign_fields";
 import { readChange } from "@marigoldford/kernel/foreign_state";
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
+import type { Departure } from "@marigoldford/kernel/transit_delay";
 import type { EntryState } from "@marigoldford/kernel/types";
 
 /** How up to date the sender's discovery state is. */
 export type DiscoveryFreshness = ToldPosition & {
   /** Version of the sender's snapshot; earlier builds do not tell it. */
   readonly snapshotVersion?: number;
-  /** Time since the state was last known to be complete. */
+  /** Time since the state was last known to be complete, at the departure. */
   readonly ageMilliseconds: number;
+  /** When the message was sent; earlier builds do not tell it. */
+  readonly departure?: Departure;
 };
 
 /** What a run of a backend server says of itself. */
@@ -109,6 +112,7 @@
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
     readonly ageMilliseconds: number;
+    readonly departure?: Departure;
     /** Whether the changes are everything that exists at the revision. */
     readonly isListing?: boolean;
     /** Whether the receiver forwards it to the peers of its failure domain. */
@@ -120,6 +124,7 @@
     readonly kind: "reading";
     readonly reading: DiscoveryListing;
     readonly ageMilliseconds: number;
+    readonly departure?: Departure;
   };
 
 export type MessageUnreadable = {
@@ -258,6 +263,7 @@
         readInteger(message.revision, "revision"),
         readChanges(message.changes, onIgnored),
         readAge(message.ageMilliseconds),
+        readOptional(message, "departure", readDeparture),
         readOptional(message, "isListing", readBoolean),
         readOptional(message, "isForDomain", readBoolean),
       ]).map((
@@ -267,6 +273,7 @@
           revision,
           changes,
           ageMilliseconds,
+          departure,
           isListing,
           isForDomain,
         ],
@@ -276,6 +283,7 @@
         revision,
         changes,
         ageMilliseconds,
+        ...departure,
         ...isListing,
         ...isForDomain,
       }));
@@ -285,7 +293,12 @@
       return Result.combine([
         readListing(message.reading, onIgnored),
         readAge(message.ageMilliseconds),
-      ]).map(([reading, ageMilliseconds]) => ({ reading, ageMilliseconds }));
+        readOptional(message, "departure", readDeparture),
+      ]).map(([reading, ageMilliseconds, departure]) => ({
+        reading,
+        ageMilliseconds,
+        ...departure,
+      }));
   }
 }
 
@@ -328,11 +341,13 @@
       readInteger(news.revision, "revision"),
       readOptional(news, "snapshotVersion", readInteger),
       readAge(news.ageMilliseconds),
-    ]).map(([era, revision, snapshotVersion, ageMilliseconds]) => ({
+      readOptional(news, "departure", readDeparture),
+    ]).map(([era, revision, snapshotVersion, ageMilliseconds, departure]) => ({
       ...era,
       revision,
       ...snapshotVersion,
       ageMilliseconds,
+      ...departure,
     }))
   );
 }
@@ -343,6 +358,18 @@
   return readNumber(value, "ageMilliseconds", { maximum });
 }
 
+function readDeparture(
+  value: unknown,
+  path: string,
+): Result<Departure, ValueMalformed> {
+  return readObject(value, path).andThen((departure) =>
+    Result.combine([
+      readName(departure.clock, `${path}.clock`),
+      readNumber(departure.atMilliseconds, `${path}.atMilliseconds`),
+    ]).map(([clock, atMilliseconds]) => ({ clock, atMilliseconds }))
+  );
+}
+
 function readMemberRecord(
   value: unknown,
 ): Result<MemberRecord, ValueMalformed> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,6 +157,8 @@
   readonly #timers: ReturnType<typeof setInterval>[] = [];
   readonly #startedAt = performance.now();
   #leaveRequestedAt = Infinity;
+  #housekeptAt = performance.now();
+  #eventLoopDelay = 0;
   #wallClockOffset = Date.now() - performance.now();
 
   constructor(options: GatewayOptions, dependencies: GatewayDependencies) {
@@ -227,6 +229,7 @@
       peers: () => this.#fleet.members.livePeers(),
       datagramSocket: this.#datagramSocket,
       frameConnections: this.#frameConnections,
+      writeEvent: this.#writeEvent,
     });
     this.#loadExchange = new LoadExchange({
       self: this.#incarnation,
@@ -301,6 +304,7 @@
     this.#runEvery(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => {
       this.#logTraffic();
       this.#forgetStatements();
+      this.#exchange.expire();
     });
   }
 
@@ -375,7 +379,7 @@
       },
       seeds: () => this.#seedDatagramAddresses(),
       socket: this.#datagramSocket,
-      discoveryFreshness: () => this.#discovery.freshness,
+      discoveryFreshness: () => this.#exchange.freshness(),
       writeEvent: this.#writeEvent,
     });
   }
@@ -525,7 +529,18 @@
     this.#writeEvent({ event: "peer-message-refused", peer, detail });
   }
 
+  /** The longest delay of a housekeeping timer since the last call. */
+  #takeEventLoopDelay(): number {
+    const delay = Math.round(this.#eventLoopDelay);
+    this.#eventLoopDelay = 0;
+    return delay;
+  }
+
   #housekeep(): void {
+    const now = this.#clock();
+    const delay = now - this.#housekeptAt - HOUSEKEEPING_INTERVAL_MILLISECONDS;
+    this.#eventLoopDelay = Math.max(this.#eventLoopDelay, delay);
+    this.#housekeptAt = now;
     this.#discovery.settleProvisional();
     this.#servers.closeExpiredConnections();
     if (!this.#pauseDetector.recordTick() && !this.#hasClockJumped()) return;
@@ -582,6 +597,7 @@
       discovery_revision: this.#discovery.state.revision,
       discovery_news_age_milliseconds:
         this.#discovery.freshness.ageMilliseconds,
+      event_loop_delay_milliseconds: this.#takeEventLoopDelay(),
     });
   }
 }
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -61,7 +61,14 @@
     idleTimeoutMilliseconds: 1_000,
   },
 } as const;
-const NEWS = { era: 3, revision: 9, snapshotVersion: 2, ageMilliseconds: 3.5 };
+const DEPARTURE = { clock: "abc", atMilliseconds: 1_234.5 };
+const NEWS = {
+  era: 3,
+  revision: 9,
+  snapshotVersion: 2,
+  ageMilliseconds: 3.5,
+  departure: DEPARTURE,
+};
 const BYTES = new Uint8Array(9);
 
 const DATAGRAMS: readonly FleetDatagram[] = [
@@ -119,6 +126,7 @@
     revision: 9,
     changes: CHANGES,
     ageMilliseconds: 0,
+    departure: DEPARTURE,
     isListing: true,
     isForDomain: true,
   },
@@ -127,6 +135,7 @@
     kind: "reading",
     reading: { era: 3, revision: 9, changes: CHANGES },
     ageMilliseconds: 12,
+    departure: DEPARTURE,
   },
 ];
 
