Discovery: peers are told what a configuration changes, not all of it

Callers saw requests routed by versions replaced more than 2.5 s before.

An update now holds the last version only, as the difference to the one that peers at the base revision have; a peer with another one requests the listing. A message is encoded once for all receivers, and large ones, such as listings, are deflated. The kind of the frame changes with it, so that an entry of the build before refuses it as a whole and falls back to listings.

--- a/packages/gateway/src/datagram_socket.ts
+++ b/packages/gateway/src/datagram_socket.ts
@@ -8,7 +8,7 @@
 import type { Address } from "@marigoldford/kernel/types";
 import {
   decodeDatagram,
-  encodeFleetMessage,
+  encodeDatagram,
   type FleetDatagram,
   type MessageUnreadable,
 } from "./fleet_messages.ts";
@@ -53,7 +53,7 @@
   /** Sends to each address; later datagrams make up for a lost one. */
   send(to: readonly Address[], datagram: FleetDatagram): void {
     if (to.length === 0) return;
-    const bytes = encodeFleetMessage(datagram);
+    const bytes = encodeDatagram(datagram);
     for (const address of to) this.#sendTo(address, bytes);
   }
 
--- a/packages/gateway/src/discovery_exchange.ts
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -8,11 +8,14 @@
   comparePositions,
   positionOf,
 } from "@marigoldford/kernel/discovery_position";
+import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import {
   MissingRevision,
   type StateProgress,
 } from "@marigoldford/kernel/missing_revision";
+import type { RoutingSnapshot } from "@marigoldford/kernel/routing_snapshot";
+import { snapshotDifference } from "@marigoldford/kernel/snapshot_difference";
 import {
   type Departure,
   TransitDelays,
@@ -22,6 +25,7 @@
 import type {
   DiscoverySynchronizer,
   DiscoveryUpdate,
+  PeerUpdate,
 } from "./discovery_synchronizer.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
 import type { WriteEvent } from "./events.ts";
@@ -41,7 +45,7 @@
   readonly writeEvent: WriteEvent;
 };
 
-type ChangesFrame = Extract<FleetFrame, { kind: "changes" }>;
+type UpdateFrame = Extract<FleetFrame, { kind: "update" }>;
 
 const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
 /** Entries of another failure domain that get changes without a relay. */
@@ -84,8 +88,8 @@
       return;
     }
     const frame = {
-      kind: "changes",
-      ...update,
+      kind: "update",
+      ...compact(update),
       ageMilliseconds: 0,
       departure: this.#departure(),
     } as const;
@@ -110,14 +114,14 @@
     this.#requestListing(
       { ...positionOf(freshness), snapshotVersion },
       () =>
-        frameConnections.send(`${host}:${port}`, { kind: "reading-request" }),
+        frameConnections.send([`${host}:${port}`], { kind: "reading-request" }),
     );
   }
 
   receiveFrame(frame: FleetFrame, reply: FrameReply): void {
     const { discovery, clock } = this.#options;
     switch (frame.kind) {
-      case "changes":
+      case "update":
         this.#logChanges(frame);
         this.#relay(frame);
         if (!discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
@@ -141,7 +145,7 @@
   }
 
   /** Forwards changes to the own failure domain, unless it has them already. */
-  #relay(frame: ChangesFrame): void {
+  #relay(frame: UpdateFrame): void {
     if (!frame.isForDomain) return;
     const { discovery, peers, failureDomain } = this.#options;
     const { position } = discovery.state;
@@ -164,7 +168,7 @@
     return this.#transitDelays.record(departure);
   }
 
-  #logChanges(frame: ChangesFrame): void {
+  #logChanges(frame: UpdateFrame): void {
     const { discovery, writeEvent } = this.#options;
     const waitedMilliseconds = this.#waitedMilliseconds(frame.departure);
     writeEvent({
@@ -179,9 +183,10 @@
   }
 
   #sendFrame(to: readonly MemberRecord[], frame: FleetFrame): void {
-    for (const { meshAddress } of to) {
-      this.#options.frameConnections.send(meshAddress, frame);
-    }
+    this.#options.frameConnections.send(
+      to.map(({ meshAddress }) => meshAddress),
+      frame,
+    );
   }
 
   /** Requests a listing unless it, or the missing changes, are on their way. */
@@ -194,3 +199,38 @@
     send();
   }
 }
+
+/**
+ * An update with the last of its snapshots, told as the difference to the one
+ * that peers at the base revision have.
+ */
+function compact(
+  { baseSnapshot, changes, ...update }: DiscoveryUpdate,
+): PeerUpdate {
+  const snapshot = lastSnapshot(changes);
+  if (snapshot === undefined) return { ...update, changes };
+  const others = changes.filter(({ kind }) => kind !== "snapshot");
+  const whole = { kind: "snapshot", snapshot } as const;
+  if (baseSnapshot === undefined || update.isListing) {
+    return { ...update, changes: [whole, ...others] };
+  }
+  if (baseSnapshot.version >= snapshot.version) {
+    return { ...update, changes: others };
+  }
+  const difference = snapshotDifference(baseSnapshot, snapshot);
+  return difference === undefined
+    ? { ...update, changes: [whole, ...others] }
+    : { ...update, changes: others, snapshotDifference: difference };
+}
+
+function lastSnapshot(
+  changes: readonly DiscoveryChange[],
+): RoutingSnapshot | undefined {
+  let last: RoutingSnapshot | undefined;
+  for (const change of changes) {
+    if (change.kind !== "snapshot") continue;
+    if (last !== undefined && change.snapshot.version <= last.version) continue;
+    last = change.snapshot;
+  }
+  return last;
+}
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -19,6 +19,11 @@
   isBehind,
   type StateProgress,
 } from "@marigoldford/kernel/missing_revision";
+import type { RoutingSnapshot } from "@marigoldford/kernel/routing_snapshot";
+import {
+  applySnapshotDifference,
+  type SnapshotDifference,
+} from "@marigoldford/kernel/snapshot_difference";
 import { watcherReason } from "@marigoldford/kernel/watcher_selection";
 import type { Clock, RandomSource } from "@marigoldford/kernel/types";
 import type { DiscoveryFailure, DiscoverySource } from "./discovery_source.ts";
@@ -46,6 +51,8 @@
   readonly baseRevision: number;
   readonly revision: number;
   readonly changes: readonly DiscoveryChange[];
+  /** The snapshot that was known at the base revision. */
+  readonly baseSnapshot?: RoutingSnapshot;
   /**
    * Whether the changes are everything that exists at the revision: what is
    * missing from them is gone.
@@ -53,6 +60,11 @@
   readonly isListing?: boolean;
 };
 
+/** An update as a peer tells it. */
+export type PeerUpdate = Omit<DiscoveryUpdate, "baseSnapshot"> & {
+  readonly snapshotDifference?: SnapshotDifference;
+};
+
 export type DiscoverySettings = {
   /** Number of entries that watch the service for the whole fleet. */
   readonly watcherCount: number;
@@ -162,7 +174,9 @@
   }
 
   /** Applies changes from a peer; false if earlier changes are missing. */
-  applyPeerUpdate(update: DiscoveryUpdate, ageMilliseconds: number): boolean {
+  applyPeerUpdate(told: PeerUpdate, ageMilliseconds: number): boolean {
+    const update = this.#withWholeSnapshot(told);
+    if (update === undefined) return false;
     if (update.isListing) {
       this.applyPeerListing(update, ageMilliseconds);
       return true;
@@ -181,6 +195,21 @@
     return true;
   }
 
+  /** Undefined if the difference applies to a snapshot that is not known. */
+  #withWholeSnapshot(
+    { snapshotDifference: difference, ...update }: PeerUpdate,
+  ): DiscoveryUpdate | undefined {
+    const { snapshot } = this.state;
+    if (difference === undefined) return update;
+    if (snapshot !== undefined && snapshot.version >= difference.version) {
+      return update;
+    }
+    if (snapshot?.version !== difference.baseVersion) return undefined;
+    const next = applySnapshotDifference(snapshot, difference);
+    const change = { kind: "snapshot", snapshot: next } as const;
+    return { ...update, changes: [change, ...update.changes] };
+  }
+
   /** Records how fresh a peer's state is; false if it is ahead of this one. */
   recordPeerFreshness(freshness: DiscoveryFreshness): boolean {
     const position = positionOf(freshness);
@@ -360,12 +389,14 @@
       return undefined;
     }
     const isKnown = isSameHistory && revision <= previous.revision;
+    const baseSnapshot = this.state.snapshot;
     const update: DiscoveryUpdate = isSameHistory
       ? {
         era,
         baseRevision: isKnown ? revision : previous.revision,
         revision,
         changes: isKnown ? [] : this.state.changesTo(listing),
+        baseSnapshot,
       }
       : { ...listing, baseRevision: previous.revision, isListing: true };
     this.#applyUpdate(
@@ -381,6 +412,7 @@
     waitMilliseconds: number,
   ): Promise<DiscoveryFailure | undefined> {
     const { settings } = this.#options;
+    const baseSnapshot = this.state.snapshot;
     const answer = await this.#ask((source) =>
       source.watch(base.revision, waitMilliseconds)
     );
@@ -404,7 +436,7 @@
       () => this.state.apply(changes, revision, this.#now()),
     );
     const baseRevision = base.revision;
-    this.#onSuccess({ era, baseRevision, revision, changes });
+    this.#onSuccess({ era, baseRevision, revision, changes, baseSnapshot });
     if (changes.length > 0) await sleep(settings.batchDelayMilliseconds);
     return undefined;
   }
--- a/packages/gateway/src/fleet_membership_test.ts
+++ b/packages/gateway/src/fleet_membership_test.ts
@@ -8,7 +8,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { FleetMembership } from "./fleet_membership.ts";
 import { VirtualClock } from "./__fixtures__/virtual_clock.ts";
-import { encodeFleetMessage, type FleetDatagram } from "./fleet_messages.ts";
+import { encodeDatagram, type FleetDatagram } from "./fleet_messages.ts";
 
 const LOSS_SHARE = 0.02;
 /** Generous, as simulating large fleets is slow on a busy machine. */
@@ -46,7 +46,7 @@
   for (let index = 0; index < size; index++) {
     const address = addressOf(index);
     const send = (to: readonly string[], datagram: FleetDatagram) => {
-      const bytes = encodeFleetMessage(datagram).byteLength;
+      const bytes = encodeDatagram(datagram).byteLength;
       node.sent += to.length;
       node.bytes += bytes * to.length;
       const reached = to.filter(() => node.isUp && random() >= LOSS_SHARE);
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -7,6 +7,7 @@
  * out. Unknown fields are ignored, so that later builds may add some.
  */
 import type { Buffer } from "node:buffer";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { decode, encode } from "cbor-x";
 import { err, ok, Result } from "neverthrow";
 import type { ToldPosition } from "@marigoldford/kernel/discovery_position";
@@ -32,7 +33,11 @@
   readOptional,
   readSequence,
 } from "@marigoldford/kernel/foreign_fields";
-import { readChange } from "@marigoldford/kernel/foreign_state";
+import {
+  readChange,
+  readSnapshotDifference,
+} from "@marigoldford/kernel/foreign_state";
+import type { SnapshotDifference } from "@marigoldford/kernel/snapshot_difference";
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import type { Departure } from "@marigoldford/kernel/transit_delay";
 import type { EntryState } from "@marigoldford/kernel/types";
@@ -105,12 +110,14 @@
 
 export type FleetFrame =
   | {
-    readonly kind: "changes";
+    readonly kind: "update";
     /** The era of both revisions; earlier builds do not tell it. */
     readonly era?: number;
     readonly baseRevision: number;
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
+    /** In place of a snapshot among the changes, if the base is known. */
+    readonly snapshotDifference?: SnapshotDifference;
     readonly ageMilliseconds: number;
     readonly departure?: Departure;
     /** Whether the changes are everything that exists at the revision. */
@@ -144,10 +151,16 @@
   "crash",
 ];
 const FRAME_KINDS: readonly FleetFrame["kind"][] = [
-  "changes",
+  "update",
   "reading-request",
   "reading",
 ];
+const DEFLATED_KIND = "deflated";
+/** Smaller frames fit a few packets. */
+const MINIMUM_DEFLATED_BYTES = 8 * 1024;
+const DEFLATE_LEVEL = 1;
+/** Far beyond the state of any fleet. */
+const MAXIMUM_INFLATED_BYTES = 64 * 1024 * 1024;
 const ENTRY_STATES: readonly EntryState[] = [
   "starting",
   "serving",
@@ -156,10 +169,16 @@
 ];
 const MAXIMUM_TAG = 0xffffffff;
 
-export function encodeFleetMessage(
-  message: FleetDatagram | FleetFrame,
-): Buffer {
-  return encode(message);
+export function encodeDatagram(datagram: FleetDatagram): Buffer {
+  return encode(datagram);
+}
+
+/** A large frame is deflated, as a listing repeats most of its text. */
+export function encodeFleetFrame(frame: FleetFrame): Buffer {
+  const bytes = encode(frame);
+  if (bytes.byteLength < MINIMUM_DEFLATED_BYTES) return bytes;
+  const deflated = deflateRawSync(bytes, { level: DEFLATE_LEVEL });
+  return encode({ kind: DEFLATED_KIND, bytes: deflated });
 }
 
 export function decodeDatagram(
@@ -182,7 +201,7 @@
   bytes: Uint8Array,
   onIgnored: OnIgnored = () => {},
 ): Result<FleetFrame, MessageUnreadable> {
-  return decodeObject(bytes).andThen((message) =>
+  return decodeObject(bytes).andThen(inflated).andThen((message) =>
     readOneOf(message.kind, "kind", FRAME_KINDS).andThen((kind) =>
       readFrameFields(kind, message, onIgnored).map((fields) =>
         ({ ...message, ...fields, kind }) as FleetFrame
@@ -201,6 +220,22 @@
   }
 }
 
+/** The message itself, or the one that it holds deflated. */
+function inflated(message: JsonObject): Result<JsonObject, ValueMalformed> {
+  if (message.kind !== DEFLATED_KIND) return ok(message);
+  return readBytes(message.bytes, "bytes").andThen((bytes) => {
+    try {
+      const maxOutputLength = MAXIMUM_INFLATED_BYTES;
+      return decodeObject(inflateRawSync(bytes, { maxOutputLength }));
+    } catch (error) {
+      return err<never, ValueMalformed>({
+        kind: "value-malformed",
+        detail: String(error),
+      });
+    }
+  });
+}
+
 function unreadable({ detail }: ValueMalformed): MessageUnreadable {
   return { kind: "message-unreadable", detail };
 }
@@ -256,12 +291,13 @@
   onIgnored: OnIgnored,
 ): Fields {
   switch (kind) {
-    case "changes":
+    case "update":
       return Result.combine([
         readOptional(message, "era", readInteger),
         readInteger(message.baseRevision, "baseRevision"),
         readInteger(message.revision, "revision"),
         readChanges(message.changes, onIgnored),
+        readOptional(message, "snapshotDifference", readSnapshotDifference),
         readAge(message.ageMilliseconds),
         readOptional(message, "departure", readDeparture),
         readOptional(message, "isListing", readBoolean),
@@ -272,6 +308,7 @@
           baseRevision,
           revision,
           changes,
+          snapshotDifference,
           ageMilliseconds,
           departure,
           isListing,
@@ -282,6 +319,7 @@
         baseRevision,
         revision,
         changes,
+        ...snapshotDifference,
         ageMilliseconds,
         ...departure,
         ...isListing,
--- a/packages/gateway/src/frame_connections.ts
+++ b/packages/gateway/src/frame_connections.ts
@@ -12,7 +12,7 @@
 import { openConnection } from "@marigoldford/mesh/open_connection";
 import {
   decodeFleetFrame,
-  encodeFleetMessage,
+  encodeFleetFrame,
   type FleetFrame,
 } from "./fleet_messages.ts";
 import { listenAt } from "./listen.ts";
@@ -48,8 +48,10 @@
     return listenAt(this.#server, this.#options.listenAddress);
   }
 
-  send(to: Address, frame: FleetFrame): void {
-    this.#write(this.#connectionTo(to), frame);
+  send(to: readonly Address[], frame: FleetFrame): void {
+    if (to.length === 0) return;
+    const bytes = encodeFrame(encodeFleetFrame(frame));
+    for (const address of to) this.#write(this.#connectionTo(address), bytes);
   }
 
   close(): void {
@@ -91,7 +93,7 @@
         if (frame.isErr()) return this.#reject(socket, frame.error.detail);
         this.#options.onFrame(
           frame.value,
-          (reply) => this.#write(socket, reply),
+          (reply) => this.#write(socket, encodeFrame(encodeFleetFrame(reply))),
         );
       }
     });
@@ -102,12 +104,12 @@
     socket.destroy();
   }
 
-  #write(socket: Socket, frame: FleetFrame): void {
+  #write(socket: Socket, bytes: Buffer): void {
     if (socket.destroyed) return;
     if (socket.writableLength > MAXIMUM_BUFFERED_BYTES) {
       socket.destroy();
       return;
     }
-    socket.write(encodeFrame(encodeFleetMessage(frame)));
+    socket.write(bytes);
   }
 }
--- a/packages/gateway/src/load_codec_test.ts
+++ b/packages/gateway/src/load_codec_test.ts
@@ -8,7 +8,7 @@
 import {
   decodeDatagram,
   decodeFleetFrame,
-  encodeFleetMessage,
+  encodeDatagram,
 } from "./fleet_messages.ts";
 import {
   decodeInFlightCounts,
@@ -77,7 +77,7 @@
 
   it("are decoded as they were encoded", () => {
     const sent = { kind: "crash", from: "a", fingerprint: "f", server: "s" };
-    const bytes = encodeFleetMessage(sent as never);
+    const bytes = encodeDatagram(sent as never);
     expect(decodeDatagram(bytes)._unsafeUnwrap()).toEqual(sent);
     expect(decodeFleetFrame(bytes).isErr()).toBe(true);
   });
--- a/packages/gateway/src/narrow_links_test.ts
+++ b/packages/gateway/src/narrow_links_test.ts
@@ -4,6 +4,7 @@
  * Timers are fakes; a message takes the time of its bytes on the link of its
  * sender.
  */
+import { encode } from "cbor-x";
 import { ok } from "neverthrow";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
@@ -17,7 +18,7 @@
 import type { DiscoverySource } from "./discovery_source.ts";
 import { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import {
-  encodeFleetMessage,
+  encodeFleetFrame,
   type FleetDatagram,
   type FleetFrame,
 } from "./fleet_messages.ts";
@@ -63,16 +64,20 @@
 
 const sizes = new WeakMap<object, number>();
 
-/** Size of a frame; those with the same changes are encoded once. */
-function bytesOf(frame: FleetFrame): number {
-  const key = frame.kind === "changes" ? frame.changes : frame;
+/** Size of a message; those with the same `key` are encoded once. */
+function sizeOf(key: object, encodeMessage: () => Uint8Array): number {
   const known = sizes.get(key);
   if (known !== undefined) return known;
-  const { byteLength } = encodeFleetMessage(frame);
+  const { byteLength } = encodeMessage();
   sizes.set(key, byteLength);
   return byteLength;
 }
 
+function frameBytes(frame: FleetFrame): number {
+  const key = frame.kind === "update" ? frame.changes : frame;
+  return sizeOf(key, () => encodeFleetFrame(frame));
+}
+
 function route(index: number, service: string): SnapshotRoute {
   return {
     name: `route-${index}`,
@@ -165,13 +170,7 @@
     const answer = (after: number) => {
       const { revision } = this;
       const changes = this.#changesAfter(after);
-      const bytes = bytesOf({
-        kind: "changes",
-        baseRevision: 0,
-        revision,
-        changes,
-        ageMilliseconds: 0,
-      });
+      const bytes = sizeOf(changes, () => encode(changes));
       return new Promise<{ revision: number; changes: typeof changes }>(
         (resolve) => link.send(bytes, () => resolve({ revision, changes })),
       );
@@ -271,14 +270,14 @@
 
   #sendFrame(
     from: Address,
-    to: Address | readonly Address[],
+    to: readonly Address[],
     frame: FleetFrame,
   ): void {
-    for (const address of [to].flat()) {
-      this.links.get(from)?.send(bytesOf(frame), () => {
+    for (const address of to) {
+      this.links.get(from)?.send(frameBytes(frame), () => {
         this.#exchanges.get(address)?.receiveFrame(
           frame,
-          (reply) => this.#sendFrame(address, from, reply),
+          (reply) => this.#sendFrame(address, [from], reply),
         );
       });
     }
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -3,6 +3,7 @@
  * another build may send fields that this one does not know, or odd ones.
  */
 import { Buffer } from "node:buffer";
+import { deflateRawSync } from "node:zlib";
 import { encode } from "cbor-x";
 import fastCheck from "fast-check";
 import { describe, expect, it } from "vitest";
@@ -14,7 +15,8 @@
   decodeDatagram,
   decodeFleetFrame,
   type DiscoveryFreshness,
-  encodeFleetMessage,
+  encodeDatagram,
+  encodeFleetFrame,
   type FleetDatagram,
   type FleetFrame,
 } from "./fleet_messages.ts";
@@ -120,11 +122,16 @@
 ] as const;
 const FRAMES: readonly FleetFrame[] = [
   {
-    kind: "changes",
+    kind: "update",
     era: 3,
     baseRevision: 4,
     revision: 9,
     changes: CHANGES,
+    snapshotDifference: {
+      baseVersion: 1,
+      removedRoutes: ["old"],
+      ...SNAPSHOT,
+    },
     ageMilliseconds: 0,
     departure: DEPARTURE,
     isListing: true,
@@ -146,15 +153,30 @@
 
 describe("a message of this build", () => {
   it.each(DATAGRAMS)("($kind) is read as it was sent", (datagram) => {
-    expect(decodeDatagram(encodeFleetMessage(datagram))._unsafeUnwrap())
+    expect(decodeDatagram(encodeDatagram(datagram))._unsafeUnwrap())
       .toEqual(datagram);
   });
 
   it.each(FRAMES)("($kind) is read as it was sent", (frame) => {
-    expect(decodeFleetFrame(encodeFleetMessage(frame))._unsafeUnwrap())
+    expect(decodeFleetFrame(encodeFleetFrame(frame))._unsafeUnwrap())
       .toEqual(frame);
   });
 
+  it("is deflated if it is large, and read as it was sent", () => {
+    const routes = Array.from({ length: 1_600 }, (_, index) => ({
+      ...SNAPSHOT.routes[0],
+      name: `route-${index}`,
+    }));
+    const changes = [{
+      kind: "snapshot",
+      snapshot: { ...SNAPSHOT, routes },
+    }] as const;
+    const frame = { ...FRAMES[0], changes } as FleetFrame;
+    const bytes = encodeFleetFrame(frame);
+    expect(bytes.byteLength).toBeLessThan(encode(frame).byteLength / 10);
+    expect(decodeFleetFrame(bytes)._unsafeUnwrap()).toEqual(frame);
+  });
+
   it("may have fields of later builds", () => {
     const later = { ...DATAGRAMS[2], more: { nested: [1] } };
     expect(decodeDatagram(encode(later)).isOk()).toBe(true);
@@ -250,6 +272,19 @@
     },
   );
 
+  it("whose snapshot difference is odd is refused as a whole", () => {
+    const frame = { ...FRAMES[0], snapshotDifference: { baseVersion: 1 } };
+    expect(decodeFleetFrame(encode(frame)).isErr()).toBe(true);
+  });
+
+  it("that is deflated, but wrongly or too large, is refused", () => {
+    const tooLarge = deflateRawSync(Buffer.alloc(65 * 1024 * 1024));
+    for (const bytes of [BYTES, tooLarge, "text"]) {
+      const frame = encode({ kind: "deflated", bytes });
+      expect(decodeFleetFrame(frame).isErr()).toBe(true);
+    }
+  });
+
   it("nested deeply is refused", () => {
     for (const depth of [10, 1_000, 60_000, 4_000_000]) {
       expect(decodeDatagram(nest(depth)).isErr()).toBe(true);
@@ -277,7 +312,7 @@
       expect(message.inFlight).toBeInstanceOf(Uint8Array);
       expect(message.reports).toBeInstanceOf(Uint8Array);
       return;
-    case "changes":
+    case "update":
       expectUsablePosition(message);
       return expectUsableChanges(message.changes);
     case "reading":
@@ -301,7 +336,7 @@
 }
 
 function expectUsableChanges(
-  changes: Extract<FleetFrame, { kind: "changes" }>["changes"],
+  changes: Extract<FleetFrame, { kind: "update" }>["changes"],
 ): void {
   for (const change of changes) {
     if (change.kind === "registration") {
--- a/packages/gateway/src/refused_addresses_test.ts
+++ b/packages/gateway/src/refused_addresses_test.ts
@@ -44,8 +44,8 @@
         onRefused: () => {},
       });
       await frames.open();
-      frames.send(address, { kind: "reading-request" });
-      frames.send(address, { kind: "reading-request" });
+      frames.send([address], { kind: "reading-request" });
+      frames.send([address], { kind: "reading-request" });
       frames.close();
     });
 
--- a/packages/kernel/src/foreign_state.ts
+++ b/packages/kernel/src/foreign_state.ts
@@ -35,6 +35,7 @@
   SnapshotService,
   WeightedService,
 } from "./routing_snapshot.ts";
+import type { SnapshotDifference } from "./snapshot_difference.ts";
 
 const STATES: readonly ServerRegistration["state"][] = ["ready", "draining"];
 const ROUTE_KINDS: readonly RouteKind[] = [
@@ -145,6 +146,33 @@
   );
 }
 
+export function readSnapshotDifference(
+  value: unknown,
+  path: string,
+): Read<SnapshotDifference> {
+  return readObject(value, path).andThen((fields) =>
+    Result.combine([
+      readInteger(fields.baseVersion, "baseVersion"),
+      readInteger(fields.version, "version"),
+      readList(fields.routes, "routes", readRoute),
+      readList(
+        fields.removedRoutes,
+        "removedRoutes",
+        (name) => readName(name, "name"),
+      ),
+      readList(fields.services, "services", readService),
+      readLimits(fields.limits),
+    ])
+  ).map(([baseVersion, version, routes, removedRoutes, services, limits]) => ({
+    baseVersion,
+    version,
+    routes,
+    removedRoutes,
+    services,
+    limits,
+  }));
+}
+
 function readSnapshot(value: unknown): Read<RoutingSnapshot> {
   return readObject(value, "snapshot").andThen((fields) =>
     Result.combine([
