Discovery: the age of a state counts from the answer of the service

Callers reached servers 2.5 to 2.8 s after their word. Changes and watch answers counted as current when they were handled, whatever time they had waited in sockets, links and a busy process.

A message says how old its state was when it was sent, and the receiver adds the time that it took beyond the fastest message of its sender. A watch with changes is as old as its call, one without changes as its call less the wait; the older the state, the shorter the next wait. Messages that do not say when they were sent confirm nothing. A paused entry starts a new clock.

--- a/packages/gateway/src/discovery_exchange.ts
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -45,6 +45,8 @@
   readonly writeEvent: WriteEvent;
 };
 
+/** How old a state is that a message tells of. */
+type Aged = Pick<DiscoveryFreshness, "ageMilliseconds" | "departure">;
 type UpdateFrame = Extract<FleetFrame, { kind: "update" }>;
 
 const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
@@ -56,6 +58,7 @@
   readonly #missingRevision: MissingRevision;
   readonly #transitDelays: TransitDelays;
   #listingRequestedAt = -Infinity;
+  #clockNumber = 0;
 
   constructor(options: DiscoveryExchangeOptions) {
     this.#options = options;
@@ -65,10 +68,12 @@
 
   /** How fresh the state of this entry is, for a message that is sent now. */
   freshness(): DiscoveryFreshness {
-    return {
-      ...this.#options.discovery.freshness,
-      departure: this.#departure(),
-    };
+    return { ...this.#options.discovery.freshness, ...this.#ageNow() };
+  }
+
+  /** Called after the clock of this entry may have stood still. */
+  renewClock(): void {
+    this.#clockNumber += 1;
   }
 
   /** Forgets what is known of the messages of entries that are gone. */
@@ -90,7 +95,7 @@
     const frame = {
       kind: "update",
       ...compact(update),
-      ageMilliseconds: 0,
+      ageMilliseconds: update.ageMilliseconds,
       departure: this.#departure(),
     } as const;
     const others = receiversInOtherDomains(
@@ -106,8 +111,10 @@
   /** Records how fresh the state of a peer is, which may be ahead. */
   receiveFreshness(freshness: DiscoveryFreshness, sender: Address): void {
     const { discovery, meshAddress, frameConnections } = this.#options;
-    this.#waitedMilliseconds(freshness.departure);
-    if (discovery.recordPeerFreshness(freshness)) return;
+    const ageMilliseconds = this.#ageOnArrival(freshness);
+    if (discovery.recordPeerFreshness({ ...freshness, ageMilliseconds })) {
+      return;
+    }
     const { port } = splitAddress(meshAddress);
     const { host } = splitAddress(sender);
     const { snapshotVersion = 0 } = freshness;
@@ -121,37 +128,38 @@
   receiveFrame(frame: FleetFrame, reply: FrameReply): void {
     const { discovery, clock } = this.#options;
     switch (frame.kind) {
-      case "update":
-        this.#logChanges(frame);
-        this.#relay(frame);
-        if (!discovery.applyPeerUpdate(frame, frame.ageMilliseconds)) {
+      case "update": {
+        const ageMilliseconds = this.#ageOnArrival(frame);
+        this.#logUpdate(frame, ageMilliseconds);
+        this.#relay(frame, ageMilliseconds);
+        if (!discovery.applyPeerUpdate(frame, ageMilliseconds)) {
           this.#requestListing(
             { ...positionOf(frame), snapshotVersion: 0 },
             () => reply({ kind: "reading-request" }),
           );
         }
         return;
+      }
       case "reading-request": {
-        const { ageMilliseconds } = discovery.freshness;
         const reading = discovery.state.listing(clock());
-        const departure = this.#departure();
-        reply({ kind: "reading", reading, ageMilliseconds, departure });
+        reply({ kind: "reading", reading, ...this.#ageNow() });
         return;
       }
       case "reading":
-        discovery.applyPeerListing(frame.reading, frame.ageMilliseconds);
+        discovery.applyPeerListing(frame.reading, this.#ageOnArrival(frame));
         return;
     }
   }
 
   /** Forwards changes to the own failure domain, unless it has them already. */
-  #relay(frame: UpdateFrame): void {
+  #relay(frame: UpdateFrame, ageMilliseconds: number): void {
     if (!frame.isForDomain) return;
     const { discovery, peers, failureDomain } = this.#options;
     const { position } = discovery.state;
     if (comparePositions(positionOf(frame), position) <= 0) return;
     this.#sendFrame(peersInDomain(peers(), failureDomain), {
       ...frame,
+      ageMilliseconds: Math.min(ageMilliseconds, Number.MAX_SAFE_INTEGER),
       departure: this.#departure(),
       isForDomain: false,
     });
@@ -159,26 +167,38 @@
 
   #departure(): Departure {
     const { self, clock } = this.#options;
-    return { clock: self, atMilliseconds: clock() };
+    const name = `${self}.${this.#clockNumber}`;
+    return { clock: name, atMilliseconds: clock() };
   }
 
-  /** Time that a message which arrives now has waited on its way, if known. */
-  #waitedMilliseconds(departure: Departure | undefined): number | undefined {
-    if (departure === undefined) return undefined;
-    return this.#transitDelays.record(departure);
+  /** Age of the own state, in a message that is sent now. */
+  #ageNow(): Aged {
+    const { ageMilliseconds } = this.#options.discovery.freshness;
+    return { ageMilliseconds, departure: this.#departure() };
   }
 
-  #logChanges(frame: UpdateFrame): void {
+  /**
+   * Age of the state in a message that arrives now, with the time on its way;
+   * infinite if the message does not say when it was sent.
+   */
+  #ageOnArrival({ ageMilliseconds, departure }: Aged): number {
+    if (departure === undefined) return Infinity;
+    return ageMilliseconds + this.#transitDelays.record(departure);
+  }
+
+  #logUpdate(frame: UpdateFrame, ageMilliseconds: number): void {
     const { discovery, writeEvent } = this.#options;
-    const waitedMilliseconds = this.#waitedMilliseconds(frame.departure);
     writeEvent({
       event: "changes-received",
-      revision: frame.revision,
+      from: frame.departure?.clock ?? "",
       baseRevision: frame.baseRevision,
+      revision: frame.revision,
       ownRevision: discovery.state.revision,
       ownAgeMilliseconds: discovery.freshness.ageMilliseconds,
-      waitedMilliseconds: Math.round(waitedMilliseconds ?? -1),
-      from: frame.departure?.clock ?? "",
+      sentAgeMilliseconds: Math.round(frame.ageMilliseconds),
+      ageMilliseconds: Math.round(
+        Math.min(ageMilliseconds, Number.MAX_SAFE_INTEGER),
+      ),
     });
   }
 
@@ -205,7 +225,7 @@
  * that peers at the base revision have.
  */
 function compact(
-  { baseSnapshot, changes, ...update }: DiscoveryUpdate,
+  { baseSnapshot, ageMilliseconds: _, changes, ...update }: DiscoveryUpdate,
 ): PeerUpdate {
   const snapshot = lastSnapshot(changes);
   if (snapshot === undefined) return { ...update, changes };
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -53,6 +53,8 @@
   readonly changes: readonly DiscoveryChange[];
   /** The snapshot that was known at the base revision. */
   readonly baseSnapshot?: RoutingSnapshot;
+  /** Longest time since the service made the answer. */
+  readonly ageMilliseconds: number;
   /**
    * Whether the changes are everything that exists at the revision: what is
    * missing from them is gone.
@@ -61,9 +63,11 @@
 };
 
 /** An update as a peer tells it. */
-export type PeerUpdate = Omit<DiscoveryUpdate, "baseSnapshot"> & {
-  readonly snapshotDifference?: SnapshotDifference;
-};
+export type PeerUpdate =
+  & Omit<DiscoveryUpdate, "ageMilliseconds" | "baseSnapshot">
+  & {
+    readonly snapshotDifference?: SnapshotDifference;
+  };
 
 export type DiscoverySettings = {
   /** Number of entries that watch the service for the whole fleet. */
@@ -198,7 +202,7 @@
   /** Undefined if the difference applies to a snapshot that is not known. */
   #withWholeSnapshot(
     { snapshotDifference: difference, ...update }: PeerUpdate,
-  ): DiscoveryUpdate | undefined {
+  ): Omit<PeerUpdate, "snapshotDifference"> | undefined {
     const { snapshot } = this.state;
     if (difference === undefined) return update;
     if (snapshot !== undefined && snapshot.version >= difference.version) {
@@ -342,15 +346,16 @@
   async #readOnce(reason: ReadReason): Promise<void> {
     const { settings } = this.#options;
     const base = this.state.position;
-    // An old state is first confirmed or replaced at once.
     const isFresh = this.stateAgeMilliseconds <
       settings.maximumStateAgeMilliseconds;
+    // The older the state, the sooner it is confirmed or replaced.
+    const waitMilliseconds = Math.max(
+      0,
+      Math.round(settings.watchWaitMilliseconds - this.stateAgeMilliseconds),
+    );
     const failure = this.#mustReadAll || base.revision === 0
       ? await this.#readAll(base)
-      : await this.#watch(
-        base,
-        reason === "chosen" || isFresh ? settings.watchWaitMilliseconds : 0,
-      );
+      : await this.#watch(base, waitMilliseconds);
     this.#options.onServiceCall(failure?.kind ?? "answered");
     if (failure !== undefined) return await this.#onFailure(failure, reason);
     const hadState = base.revision > 0;
@@ -365,8 +370,10 @@
   async #readAll(
     base: DiscoveryPosition,
   ): Promise<DiscoveryFailure | undefined> {
+    const askedAt = this.#now();
     const answer = await this.#ask((source) => source.readAll());
     if (answer.isErr()) return answer.error;
+    const ageMilliseconds = this.#now() - askedAt;
     const { era = this.state.era, revision, changes } = answer.value;
     if (era < this.state.era) {
       this.#applySnapshots(changes);
@@ -385,6 +392,7 @@
         ...previous,
         baseRevision: previous.revision,
         changes: [],
+        ageMilliseconds,
       });
       return undefined;
     }
@@ -397,8 +405,14 @@
         revision,
         changes: isKnown ? [] : this.state.changesTo(listing),
         baseSnapshot,
+        ageMilliseconds,
       }
-      : { ...listing, baseRevision: previous.revision, isListing: true };
+      : {
+        ...listing,
+        baseRevision: previous.revision,
+        isListing: true,
+        ageMilliseconds,
+      };
     this.#applyUpdate(
       "service",
       () => this.state.applyListing(listing, this.#now()),
@@ -413,6 +427,7 @@
   ): Promise<DiscoveryFailure | undefined> {
     const { settings } = this.#options;
     const baseSnapshot = this.state.snapshot;
+    const askedAt = this.#now();
     const answer = await this.#ask((source) =>
       source.watch(base.revision, waitMilliseconds)
     );
@@ -436,7 +451,17 @@
       () => this.state.apply(changes, revision, this.#now()),
     );
     const baseRevision = base.revision;
-    this.#onSuccess({ era, baseRevision, revision, changes, baseSnapshot });
+    const elapsed = this.#now() - askedAt;
+    // A watch without changes was answered after its wait, not before.
+    const hasWaited = revision === base.revision && elapsed >= waitMilliseconds;
+    this.#onSuccess({
+      era,
+      baseRevision,
+      revision,
+      changes,
+      baseSnapshot,
+      ageMilliseconds: hasWaited ? elapsed - waitMilliseconds : elapsed,
+    });
     if (changes.length > 0) await sleep(settings.batchDelayMilliseconds);
     return undefined;
   }
@@ -460,7 +485,7 @@
 
   #onSuccess(update: DiscoveryUpdate): void {
     this.#failuresInRow = 0;
-    this.#confirm(0);
+    this.#confirm(update.ageMilliseconds);
     this.#options.onUpdate(update);
   }
 
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -117,8 +117,9 @@
       onUpdate: (update) => {
         const peers = synchronizers.filter((peer) => peer !== synchronizer);
         for (const peer of peers) {
-          if (update.changes.length > 0) peer.applyPeerUpdate(update, 0);
-          else peer.recordPeerFreshness(synchronizer.freshness);
+          if (update.changes.length > 0) {
+            peer.applyPeerUpdate(update, update.ageMilliseconds);
+          } else peer.recordPeerFreshness(synchronizer.freshness);
         }
       },
       writeEvent: () => {},
@@ -159,6 +160,46 @@
 beforeEach(() => vi.useFakeTimers());
 afterEach(() => vi.useRealTimers());
 
+describe("the age of a state", () => {
+  it("counts from the wait of a watch that brought no change", async () => {
+    const { synchronizer, updates } = setUp();
+    synchronizer.start();
+    await advance(START_MILLISECONDS + 1_100);
+    const { changes, ageMilliseconds } = updates.at(-1)!;
+    expect(changes).toEqual([]);
+    expect(ageMilliseconds).toBeLessThan(50);
+    synchronizer.stop();
+  });
+
+  it("counts from the call of a watch that brought changes", async () => {
+    const { service, synchronizer, updates } = setUp();
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    service.revision = 2;
+    await advance(30);
+    const { revision, ageMilliseconds } = updates.at(-1)!;
+    expect(revision).toBe(2);
+    expect(ageMilliseconds).toBeGreaterThan(300);
+    expect(synchronizer.stateAgeMilliseconds).toBeGreaterThan(300);
+    synchronizer.stop();
+  });
+
+  it("never passes its limit at an entry that watches", async () => {
+    const { service, synchronizer } = setUp();
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    for (let step = 0; step < 400; step++) {
+      if (step % 37 === 0) service.revision += 1;
+      await advance(25);
+      expect(synchronizer.stateAgeMilliseconds).toBeLessThan(
+        SETTINGS.maximumStateAgeMilliseconds,
+      );
+    }
+    expect(service.calls).toBeLessThan(35);
+    synchronizer.stop();
+  });
+});
+
 describe("an entry that watches", () => {
   it("lists once and then passes on the changes of each watch", async () => {
     const { service, synchronizer, updates } = setUp();
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -61,8 +61,9 @@
     ownRevision: number;
     /** Age of the state of this entry. */
     ownAgeMilliseconds: number;
-    /** Time on the way beyond the shortest of the sender; -1 if unknown. */
-    waitedMilliseconds: number;
+    /** Age of the changes when they were sent, and on arrival. */
+    sentAgeMilliseconds: number;
+    ageMilliseconds: number;
   }
   | { event: "history-reread"; reason: string; revision: number }
   | {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -549,6 +549,7 @@
       milliseconds: PAUSE_THRESHOLD_MILLISECONDS,
     });
     this.#discovery.markStale();
+    this.#exchange.renewClock();
   }
 
   #forgetStatements(): void {
