Requests wait for the discovery service while the known state is too old

The state is now valid for the shorter of the two bounds of the settings, less 400 ms from a decision to its effect. Beyond that a request waits before its route is chosen and before each attempt, until the service or a peer confirms the state, or a call of the service fails: then the known state is used as before, until the service answers again.

Tests: a state that is too old is not used until the service has answered, and is used while it does not answer. They came with the change; before, nothing asked for the age of the state.

--- a/packages/gateway/src/admission_test.ts
+++ b/packages/gateway/src/admission_test.ts
@@ -41,6 +41,8 @@
     clock: () => 0,
     bounds: {
       graceSeconds: 1,
+      configurationEffectSeconds: 2,
+      leavingEffectSeconds: 2,
       directoryAnswerSeconds: 1,
       retryShare: 1,
       retryAllowance: 1,
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -78,6 +78,10 @@
   readonly batchDelayMilliseconds: number;
   /** With an older state an entry watches the service itself. */
   readonly maximumStateAgeMilliseconds: number;
+  /**
+   * With an older state no request is decided while the service can be asked.
+   */
+  readonly validityMilliseconds: number;
   /** Registrations that expired in an outage are kept this long after it. */
   readonly outageGraceMilliseconds: number;
 };
@@ -118,6 +122,8 @@
   #isStopped = false;
   #isWatching = false;
   #isServiceLost = false;
+  /** Called once the state may be used. */
+  #waiting: (() => void)[] = [];
   #failuresInRow = 0;
   #mustReadAll = true;
   /** How often the history was gone since a watch was answered. */
@@ -136,6 +142,23 @@
     return this.#options.clock() - this.#confirmedAtMilliseconds;
   }
 
+  /**
+   * Whether requests may be decided by the state. An older one than is valid is
+   * used only while the service does not answer.
+   */
+  get isUsable(): boolean {
+    const { validityMilliseconds } = this.#options.settings;
+    return this.#isServiceLost ||
+      this.stateAgeMilliseconds <= validityMilliseconds;
+  }
+
+  /** Resolves once the state may be used, which a call of the service decides. */
+  async whenUsable(): Promise<void> {
+    while (!this.isUsable && !this.#isStopped) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    }
+  }
+
   get progress(): StateProgress {
     return {
       ...this.state.position,
@@ -161,6 +184,7 @@
 
   stop(): void {
     this.#isStopped = true;
+    this.#releaseWaiting();
     this.#options.source.close();
   }
 
@@ -260,6 +284,7 @@
     const confirmedAt = this.#now() - ageMilliseconds;
     if (confirmedAt <= this.#confirmedAtMilliseconds) return;
     this.#confirmedAtMilliseconds = confirmedAt;
+    if (this.isUsable) this.#releaseWaiting();
     if (!this.#isServiceLost) return;
     const { maximumStateAgeMilliseconds } = this.#options.settings;
     if (ageMilliseconds > maximumStateAgeMilliseconds) return;
@@ -272,6 +297,15 @@
     });
   }
 
+  /** Requests that wait until the state may be used. */
+  get waitingCount(): number {
+    return this.#waiting.length;
+  }
+
+  #releaseWaiting(): void {
+    for (const resolve of this.#waiting.splice(0)) resolve();
+  }
+
   #applyUpdate(from: Teller, apply: () => DiscoveryChange[]): void {
     const previous = this.state.position;
     const isFirst = previous.revision === 0;
@@ -537,6 +571,7 @@
   #recordLoss(failure: DiscoveryFailure): void {
     if (this.#isServiceLost) return;
     this.#isServiceLost = true;
+    this.#releaseWaiting();
     this.#options.writeEvent({
       event: "discovery-lost",
       reason: `${failure.kind}: ${failure.detail}`,
--- a/packages/gateway/src/discovery_synchronizer_test.ts
+++ b/packages/gateway/src/discovery_synchronizer_test.ts
@@ -97,6 +97,7 @@
   watchWaitMilliseconds: 1_000,
   batchDelayMilliseconds: 200,
   maximumStateAgeMilliseconds: 1_250,
+  validityMilliseconds: 1_600,
   outageGraceMilliseconds: 2_300,
 };
 
@@ -200,6 +201,47 @@
   });
 });
 
+describe("a state that is too old to decide requests by", () => {
+  /** Lets the clock run on without any timer, as in a busy process. */
+  const stall = (milliseconds: number) =>
+    vi.setSystemTime(Date.now() + milliseconds);
+
+  it("is not used until the service has answered", async () => {
+    const { service, synchronizer } = setUp();
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    expect(synchronizer.isUsable).toBe(true);
+    stall(SETTINGS.validityMilliseconds + 100);
+    service.revision = 2;
+    service.changes = [registration("two", 2)];
+    expect(synchronizer.isUsable).toBe(false);
+    const known = synchronizer.whenUsable().then(() =>
+      synchronizer.state.records.has("two")
+    );
+    await advance(1_100);
+    expect(await known).toBe(true);
+    synchronizer.stop();
+  });
+
+  it("is used while the service does not answer", async () => {
+    const { service, synchronizer } = setUp();
+    synchronizer.start();
+    await advance(START_MILLISECONDS);
+    service.behaviour = "timed-out";
+    stall(SETTINGS.validityMilliseconds + 100);
+    const usable = vi.fn();
+    void synchronizer.whenUsable().then(usable);
+    await advance(1_100);
+    expect(usable).toBeCalled();
+    await advance(10_000);
+    expect(synchronizer.isUsable).toBe(true);
+    service.behaviour = "answering";
+    await advance(2_000);
+    expect(synchronizer.stateAgeMilliseconds).toBeLessThan(1_250);
+    synchronizer.stop();
+  });
+});
+
 describe("an entry that watches", () => {
   it("lists once and then passes on the changes of each watch", async () => {
     const { service, synchronizer, updates } = setUp();
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "@marigoldford/kernel/types";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { CrashDetector } from "./crash_detector.ts";
+import type { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { Placer } from "./placer.ts";
@@ -29,6 +30,8 @@
   readonly crashDetector: CrashDetector;
   /** Whether routes and backend servers are known. */
   readonly isReady: () => boolean;
+  /** Whether the known routes and servers are recent enough to decide by. */
+  readonly discovery: Pick<DiscoverySynchronizer, "isUsable" | "whenUsable">;
   /** Whether a request is accepted; a leaving entry refuses some. */
   readonly isAccepting: (
     request: Pick<
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,6 +63,11 @@
 /** Also the interval at which statements of servers that are gone expire. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5_000;
 const MILLISECONDS_IN_SECOND = 1_000;
+/**
+ * Time from the decision on a request to its arrival at a server: probes, a
+ * connection that is opened, and other work of the entry.
+ */
+const DECISION_MILLISECONDS = 400;
 /** Time from the exit of the process to the end of the grace period. */
 const EXIT_MARGIN_MILLISECONDS = 500;
 /**
@@ -131,6 +136,18 @@
   readonly writeEvent: WriteEvent;
 };
 
+/** How old a state may be for a request that is decided by it in time. */
+function validityMilliseconds({ bounds }: GatewayOptions): number {
+  const seconds = Math.min(
+    bounds.configurationEffectSeconds,
+    bounds.leavingEffectSeconds,
+  );
+  return Math.max(
+    TUNING.discovery.maximumStateAgeMilliseconds,
+    seconds * MILLISECONDS_IN_SECOND - DECISION_MILLISECONDS,
+  );
+}
+
 class Gateway {
   readonly #options: GatewayOptions;
   readonly #writeEvent: WriteEvent;
@@ -208,7 +225,10 @@
       source: dependencies.source,
       clock,
       random: Math.random,
-      settings: TUNING.discovery,
+      settings: {
+        ...TUNING.discovery,
+        validityMilliseconds: validityMilliseconds(options),
+      },
       self: this.#incarnation,
       eligibleWatchers: () =>
         this.#nonLeavingMembers().map(({ incarnation }) => incarnation),
@@ -430,6 +450,7 @@
       writeEvent: this.#writeEvent,
       services: this.#services,
       isReady: () => this.#fleet.state !== "starting",
+      discovery: this.#discovery,
       isAccepting: (request) =>
         !Number.isFinite(this.#leaveRequestedAt) ||
         isAcceptedWhileLeaving({
@@ -598,6 +619,7 @@
       discovery_revision: this.#discovery.state.revision,
       discovery_news_age_milliseconds:
         this.#discovery.freshness.ageMilliseconds,
+      requests_waiting_for_discovery: this.#discovery.waitingCount,
       event_loop_delay_milliseconds: this.#takeEventLoopDelay(),
     });
   }
--- a/packages/gateway/src/narrow_links_test.ts
+++ b/packages/gateway/src/narrow_links_test.ts
@@ -224,7 +224,7 @@
       source: this.service.clientOn(new Link()),
       clock,
       random: () => 0.5,
-      settings: TUNING.discovery,
+      settings: { ...TUNING.discovery, validityMilliseconds: 2_100 },
       self,
       eligibleWatchers: () => members.map(({ incarnation }) => incarnation),
       onChange: () => {},
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -59,6 +59,10 @@
   bounds: Schema.Struct({
     /** Time from SIGTERM or SIGINT to the exit of the process. */
     graceSeconds: Seconds,
+    /** Time in which a published configuration must take effect. */
+    configurationEffectSeconds: Seconds,
+    /** Time in which a server that leaves must get no more requests. */
+    leavingEffectSeconds: Seconds,
     /** Longest time that callers may cache an answer of the directory. */
     directoryAnswerSeconds: Seconds,
     /** Retries per request, over the whole fleet. */
--- a/packages/gateway/src/options_test.ts
+++ b/packages/gateway/src/options_test.ts
@@ -20,6 +20,8 @@
   protocol: "marigoldford",
   bounds: {
     graceSeconds: 6,
+    configurationEffectSeconds: 2,
+    leavingEffectSeconds: 2,
     directoryAnswerSeconds: 5,
     retryShare: 0.2,
     retryAllowance: 56,
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -138,6 +138,13 @@
       if (!this.#hasEnded) this.#onCallerDisconnected();
       onEnd();
     });
+    const { discovery, isReady } = this.#context;
+    if (discovery.isUsable || !isReady()) this.#admit();
+    else void discovery.whenUsable().then(() => this.#admit());
+  }
+
+  #admit(): void {
+    if (this.#hasEnded) return;
     admit(this.#context, this.#request).match(
       (admission) => this.#onAdmitted(admission),
       (refusal) => this.#refuse(refusal),
@@ -151,7 +158,7 @@
       timeLimitMilliseconds;
     this.#deadlineTimer = setTimeout(
       () => this.#onDeadline(),
-      timeLimitMilliseconds,
+      timeLimitMilliseconds - this.#elapsedMilliseconds,
     );
     this.#hedgeTimer = this.#makeHedgeTimer();
     readBody(this.#request, maximumBodyBytes, {
@@ -257,6 +264,8 @@
    */
   async #startAttempt(reason: AttemptReason): Promise<void> {
     this.#isPlacing = true;
+    const { discovery } = this.#context;
+    if (!discovery.isUsable) await discovery.whenUsable();
     const result = await this.#context.placer.chooseAfterProbing(
       this.#service,
       this.#placementRequest(reason),
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -134,6 +134,8 @@
       clock,
       bounds: {
         graceSeconds: 1,
+        configurationEffectSeconds: 2,
+        leavingEffectSeconds: 2,
         directoryAnswerSeconds: 1,
         retryShare: 1,
         retryAllowance: 100,
@@ -155,6 +157,7 @@
       peers: () => [],
       writeEvent: () => {},
     }),
+    discovery: { isUsable: true, whenUsable: () => Promise.resolve() },
     isReady: () => true,
     isAccepting: () => true,
     mayKeepConnections: () => true,
--- a/packages/gateway/src/restored_discovery_test.ts
+++ b/packages/gateway/src/restored_discovery_test.ts
@@ -40,6 +40,7 @@
   watchWaitMilliseconds: 1_000,
   batchDelayMilliseconds: 200,
   maximumStateAgeMilliseconds: 1_250,
+  validityMilliseconds: 1_600,
   outageGraceMilliseconds: 2_300,
 };
 
