Requests are passed on through peers while no server is reached

An entry knew no other way than its own connections, although its peers reach the servers and it reaches its peers.

Peers take them at a port of their own, so that callers cannot mark a request, and refuse at once what they do not reach either. The deadline, the attempts left, the id and the body go along; a peer's refusal is evidence of its own that says that the request has not run, and nothing else does. The retry budget counts a request once. Entries tell each other which services they do not reach.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -8,6 +8,9 @@
 import { headerValue } from "./caller_protocol.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 
+/** Header of a request between entries: servers that it may still reach. */
+export const ATTEMPTS_LEFT_HEADER = "marigoldford-attempts-left";
+
 export type RefusalCause =
   | "starting"
   | "leaving"
@@ -20,6 +23,7 @@
   | "no-room"
   | "held-back"
   | "servers-refused"
+  | "peers-refused"
   | "quarantined"
   | "attempt-broken"
   | "time-out";
@@ -42,6 +46,8 @@
   /** Whether the caller seems to retry after an earlier refusal. */
   readonly isCallerRetry: boolean;
   readonly maximumBodyBytes: number;
+  /** Servers that the request may reach, less those that a peer has used. */
+  readonly maximumAttempts: number;
 };
 
 const STARTING_RETRY_AFTER_SECONDS = 0.5;
@@ -49,6 +55,7 @@
 const MALFORMED_PATH = /[^\u0021-\u00ff]/;
 /** Longer deadlines say nothing more about what is usual. */
 const MAXIMUM_DEADLINE_TIMEOUTS = 10;
+const POSITIVE_COUNT = /^[1-9]\d{0,5}$/;
 const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 
 export function admit(
@@ -89,9 +96,21 @@
     timeLimitMilliseconds,
     isCallerRetry: isCallerRetry(context, request, route),
     maximumBodyBytes,
+    maximumAttempts: maximumAttemptsOf(context, request, route),
   });
 }
 
+/** A peer says how many attempts it has left; a caller has none of its own. */
+function maximumAttemptsOf(
+  { origin }: ExchangeContext,
+  request: IncomingMessage,
+  { maximumAttempts }: SnapshotRoute,
+): number {
+  const text = headerValue(request, ATTEMPTS_LEFT_HEADER) ?? "";
+  if (origin === "caller" || !POSITIVE_COUNT.test(text)) return maximumAttempts;
+  return Math.min(maximumAttempts, Number(text));
+}
+
 /** The route's timeout says nothing about the time that a caller has left. */
 function isCallerRetry(
   context: ExchangeContext,
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -2,6 +2,7 @@
  * The events that an entry writes to its log, with their fields.
  */
 import type { EventFields, EventLog } from "@marigoldford/logger/event_log";
+import type { Reach } from "@marigoldford/kernel/server_reach";
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import type { PlacementInputs } from "./server_attempt.ts";
 
@@ -78,6 +79,12 @@
     ageMilliseconds: number;
   }
   | { event: "discovery-era-refused"; detail: string }
+  | {
+    event: "servers-reach-changed";
+    service: string;
+    reach: Reach;
+    servers: number;
+  }
   | { event: "pause-noticed"; milliseconds: number }
   | (PlacementInputs & {
     event: "attempt-started";
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { LeavingAdmissionInputs } from "@marigoldford/kernel/leaving_admission";
+import type { ServerReach } from "@marigoldford/kernel/server_reach";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Clock } from "@marigoldford/kernel/types";
@@ -11,6 +12,7 @@
 import type { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayMetrics } from "./metrics.ts";
+import type { PeerForwarder } from "./peer_forwarder.ts";
 import type { Placer } from "./placer.ts";
 import type { ServiceStates } from "./service_states.ts";
 import type { ServerStatements } from "./server_statements.ts";
@@ -28,6 +30,10 @@
   readonly writeEvent: WriteEvent;
   readonly services: ServiceStates;
   readonly crashDetector: CrashDetector;
+  readonly reach: ServerReach;
+  readonly forwarder: Pick<PeerForwarder, "reachOf" | "choose">;
+  /** Who sends the requests; those of peers are not passed on again. */
+  readonly origin: "caller" | "peer";
   /** Whether routes and backend servers are known. */
   readonly isReady: () => boolean;
   /** Whether the known routes and servers are recent enough to decide by. */
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -40,7 +40,7 @@
 import type { SnapshotDifference } from "@marigoldford/kernel/snapshot_difference";
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import type { Departure } from "@marigoldford/kernel/transit_delay";
-import type { EntryState } from "@marigoldford/kernel/types";
+import type { EntryState, ServiceName } from "@marigoldford/kernel/types";
 
 /** How up to date the sender's discovery state is. */
 export type DiscoveryFreshness = ToldPosition & {
@@ -101,6 +101,12 @@
     /** Whether the receiver forwards it to the peers of its failure domain. */
     readonly isForDomain: boolean;
   }
+  | {
+    readonly kind: "reach";
+    readonly from: string;
+    /** Services whose servers the sender does not reach. */
+    readonly unreached: readonly ServiceName[];
+  }
   | {
     readonly kind: "crash";
     readonly from: string;
@@ -148,6 +154,7 @@
   "news",
   "load",
   "statements",
+  "reach",
   "crash",
 ];
 const FRAME_KINDS: readonly FleetFrame["kind"][] = [
@@ -277,6 +284,13 @@
         statements,
         isForDomain: message.isForDomain === true,
       }));
+    case "reach":
+      return readUsable(
+        message.unreached,
+        "unreached",
+        (service) => readName(service, "service"),
+        onIgnored,
+      ).map((unreached) => ({ unreached }));
     case "crash":
       return Result.combine([
         readName(message.fingerprint, "fingerprint"),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,8 @@
 import { isAcceptedWhileLeaving } from "@marigoldford/kernel/leaving_admission";
 import { PauseDetector } from "@marigoldford/kernel/pause_detector";
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
+import { IdleLimit } from "@marigoldford/kernel/idle_limit";
+import { ServerReach } from "@marigoldford/kernel/server_reach";
 import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Address } from "@marigoldford/kernel/types";
@@ -38,8 +40,10 @@
   type AuxiliaryServer,
   DISCOVERY_SOURCES,
 } from "./plug_ins.ts";
+import { PeerForwarder } from "./peer_forwarder.ts";
 import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
+import { ServerConnections } from "./server_connections.ts";
 import { ServerStatements } from "./server_statements.ts";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
@@ -167,7 +171,11 @@
   readonly #loadExchange: LoadExchange;
   readonly #prober: Prober;
   readonly #placer: Placer;
+  readonly #reach: ServerReach;
+  readonly #forwarder: PeerForwarder;
   readonly #callServer: CallServer;
+  /** Serves requests that peers pass on. */
+  readonly #forwardServer: CallServer;
   readonly #crashDetector: CrashDetector;
   readonly #pauseDetector: PauseDetector;
   readonly #auxiliaryServers: AuxiliaryServer[];
@@ -260,7 +268,9 @@
       servers: this.#servers,
       peers: () => this.#fleet.members.livePeers(),
     });
+    this.#reach = new ServerReach(clock);
     this.#prober = new Prober({
+      reach: this.#reach,
       self: this.#incarnation,
       failureDomain: instance.failureDomain,
       clock,
@@ -282,6 +292,29 @@
       servers: this.#servers,
       prober: this.#prober,
     });
+    this.#forwarder = new PeerForwarder({
+      self: this.#incarnation,
+      failureDomain: instance.failureDomain,
+      forwardAddress: instance.forwardAddress,
+      clock,
+      random: Math.random,
+      reach: this.#reach,
+      servers: this.#servers,
+      prober: this.#prober,
+      peers: () => this.#fleet.members.livePeers(),
+      socket: this.#datagramSocket,
+      makeConnections: () =>
+        new ServerConnections({
+          clock,
+          ...TUNING.connections,
+          idleLimit: new IdleLimit({
+            clock,
+            maximumMilliseconds: TUNING.connections.idleMilliseconds,
+          }),
+          takeConnection: () => undefined,
+        }),
+      writeEvent: this.#writeEvent,
+    });
     this.#services = new ServiceStates({
       clock,
       bounds: options.bounds,
@@ -296,9 +329,9 @@
       peers: () => this.#fleet.members.livePeers(),
       writeEvent: this.#writeEvent,
     });
-    this.#callServer = new CallServer(
-      this.#exchangeContext(dependencies.protocol),
-    );
+    const context = this.#exchangeContext(dependencies.protocol);
+    this.#callServer = new CallServer(context);
+    this.#forwardServer = new CallServer({ ...context, origin: "peer" });
     this.#auxiliaryServers = this.#makeAuxiliaryServers();
   }
 
@@ -314,12 +347,14 @@
       this.#datagramSocket.open(),
       this.#frameConnections.open(),
       this.#callServer.open(instance.callAddress),
+      this.#forwardServer.open(instance.forwardAddress),
       ...this.#auxiliaryServers.map((server) => server.open()),
     ]);
     this.#fleet.start();
     this.#discovery.start();
     this.#loadExchange.start();
     this.#prober.start();
+    this.#forwarder.start();
     this.#runEvery(HOUSEKEEPING_INTERVAL_MILLISECONDS, () => this.#housekeep());
     this.#runEvery(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => {
       this.#logTraffic();
@@ -334,9 +369,11 @@
     this.#loadExchange.stop();
     this.#statements.stop();
     this.#prober.stop();
+    this.#forwarder.stop();
     this.#fleet.stop();
     for (const server of this.#auxiliaryServers) server.close();
     this.#callServer.closeAll();
+    this.#forwardServer.closeAll();
     this.#frameConnections.close();
     this.#datagramSocket.close();
     this.#servers.close();
@@ -348,13 +385,17 @@
     this.#leaveRequestedAt = this.#clock();
     this.#writeEvent({
       event: "stop-requested",
-      inProgress: this.#callServer.inProgress,
+      inProgress: this.#inProgress,
     });
     this.#fleet.enterState("leaving");
     while (this.#clock() < this.#exitAt && !this.#hasNoCallers()) {
       await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
     }
-    const requestsCut = await this.#callServer.drain(this.#exitAt);
+    const cut = await Promise.all([
+      this.#callServer.drain(this.#exitAt),
+      this.#forwardServer.drain(this.#exitAt),
+    ]);
+    const requestsCut = cut[0] + cut[1];
     this.#fleet.enterState("stopped");
     this.#writeEvent({
       event: "stop",
@@ -377,10 +418,14 @@
 
   #hasNoCallers(): boolean {
     return this.#millisecondsSinceLeaveRequest > MINIMUM_LEAVE_MILLISECONDS &&
-      this.#callServer.inProgress === 0 &&
+      this.#inProgress === 0 &&
       this.#callServer.idleMilliseconds > MINIMUM_IDLE_MILLISECONDS;
   }
 
+  get #inProgress(): number {
+    return this.#callServer.inProgress + this.#forwardServer.inProgress;
+  }
+
   #runEvery(milliseconds: number, action: () => void): void {
     this.#timers.push(setInterval(action, milliseconds));
   }
@@ -460,6 +505,9 @@
         }),
       mayKeepConnections: () => !Number.isFinite(this.#leaveRequestedAt),
       crashDetector: this.#crashDetector,
+      reach: this.#reach,
+      forwarder: this.#forwarder,
+      origin: "caller",
       onInFlightChange: () => this.#loadExchange.scheduleInFlightUpdate(),
       onReport: (server) => this.#loadExchange.queueReport(server),
     };
@@ -479,6 +527,7 @@
     const { snapshot } = this.#discovery.state;
     if (snapshot !== undefined && this.#router.adopt(snapshot)) {
       this.#callServer.setLimits(snapshot.limits);
+      this.#forwardServer.setLimits(snapshot.limits);
       this.#writeEvent({
         event: "configuration-adopted",
         version: snapshot.version,
@@ -540,6 +589,9 @@
       case "statements":
         this.#statements.receive(datagram);
         return;
+      case "reach":
+        this.#forwarder.receive(datagram);
+        return;
       case "crash":
         this.#crashDetector.recordPeerCrash(datagram);
         return;
@@ -610,7 +662,8 @@
 
   #metricsText(): string {
     return this.#metrics.text({
-      requests_in_progress: this.#callServer.inProgress,
+      requests_in_progress: this.#inProgress,
+      unreached_services: this.#forwarder.cutServices,
       servers: this.#servers.size,
       limited_servers: this.#countLimitedServers(),
       peers: this.#fleet.members.livePeers().length,
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -44,6 +44,8 @@
     meshAddress: AddressOption,
     /** UDP datagrams between entries; all entries use the same port. */
     datagramAddress: AddressOption,
+    /** Requests that peers pass on; all entries use the same port. */
+    forwardAddress: AddressOption,
     /** Where metrics are served. */
     metricsAddress: AddressOption,
   }),
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -12,6 +12,7 @@
 import type { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { highestRanked } from "@marigoldford/kernel/rendezvous";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
+import type { ServerReach } from "@marigoldford/kernel/server_reach";
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import type {
   Clock,
@@ -49,6 +50,7 @@
   readonly healthPathOf: (service: ServiceName) => string | undefined;
   readonly onReport: (server: ServerLoad) => void;
   readonly onProbe: () => void;
+  readonly reach: ServerReach;
 };
 
 const TICK_INTERVAL_MILLISECONDS = 100;
@@ -133,6 +135,23 @@
     return probe;
   }
 
+  /** Whether a server answers a probe on a new connection. */
+  async check(server: ServerLoad): Promise<boolean> {
+    const { address, service } = server.registration;
+    const path = this.#options.healthPathOf(service);
+    if (path === undefined) return false;
+    this.#options.onProbe();
+    const connection = new ProbeConnection(address, this.#options.clock);
+    const timer = setTimeout(
+      () => connection.close(),
+      this.#options.settings.timeoutMilliseconds,
+    );
+    const answer = await connection.get(path);
+    clearTimeout(timer);
+    connection.close();
+    return answer !== undefined;
+  }
+
   #tick(): void {
     const now = this.#options.clock();
     if (now - this.#assignedAt > REASSIGN_MILLISECONDS) this.#assign(now);
@@ -199,10 +218,14 @@
     }, this.#options.settings.timeoutMilliseconds);
     const answer = await connection.get(path);
     clearTimeout(timer);
+    const { reach } = this.#options;
+    const { id, service } = server.registration;
     if (answer !== undefined) {
+      reach.recordAnswer(service);
       this.#onAnswer(server, answer);
       return "answered";
     }
+    reach.recordFailure(service, id, "silence");
     const outcome = isSilent ? "silent" : "failed";
     server.recordOutcome(outcome, this.#options.clock());
     return outcome;
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -28,6 +28,7 @@
 import {
   type Admission,
   admit,
+  ATTEMPTS_LEFT_HEADER,
   type Refusal,
   type RefusalCause,
 } from "./admission.ts";
@@ -38,6 +39,7 @@
 import { HedgeTimer } from "./hedge_timer.ts";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
 import { readBody, type RequestBody } from "./request_body.ts";
+import type { ServerConnections } from "./server_connections.ts";
 import {
   type BufferedAnswer,
   ServerAttempt,
@@ -73,7 +75,9 @@
   cause: RefusalCause,
   heldBackMilliseconds: number | undefined,
 ): number {
-  if (cause === "no-room") return OVERLOAD_RETRY_AFTER_SECONDS;
+  if (cause === "no-room" || cause === "peers-refused") {
+    return OVERLOAD_RETRY_AFTER_SECONDS;
+  }
   if (heldBackMilliseconds === undefined) return RETRY_AFTER_SECONDS;
   const seconds = Math.min(
     heldBackMilliseconds / MILLISECONDS_IN_SECOND,
@@ -83,6 +87,27 @@
   return Number((Math.max(RETRY_AFTER_SECONDS, seconds) + spread).toFixed(3));
 }
 
+/** Statuses of this entry's own answers that do not say "not run". */
+const UNKNOWN_STATUSES: ReadonlySet<number> = new Set([502, 504]);
+
+/** What a failed attempt proves that was passed on to a peer. */
+function evidenceOfPeer(evidence: AttemptEvidence): AttemptEvidence {
+  return evidence.kind === "refused-by-server"
+    ? { kind: "refused-by-peer", status: evidence.status }
+    : evidence;
+}
+
+function causeOf({ kind }: AttemptEvidence): RefusalCause {
+  switch (kind) {
+    case "refused-by-server":
+      return "servers-refused";
+    case "refused-by-peer":
+      return "peers-refused";
+    default:
+      return "attempt-broken";
+  }
+}
+
 /** A hedge runs alongside another attempt, a retry follows a failed one. */
 type AttemptReason = "first" | "retry" | "hedge";
 
@@ -109,6 +134,9 @@
   #lastUnusableReason: string | undefined;
   #queuedRequest: QueuedRequest | undefined;
   #isPlacing = false;
+  #hasFailedToConnect = false;
+  /** Whether a peer may have used up the attempts of the request. */
+  #isForwardSpent = false;
   #hasEnded = false;
 
   constructor(
@@ -202,9 +230,9 @@
   }
 
   get #limits(): AttemptLimits {
-    const { kind, maximumAttempts } = this.#route;
+    const { maximumAttempts } = this.#admission;
     return {
-      kind,
+      kind: this.#route.kind,
       maximumAttempts,
       isBodyBuffered: this.#body.kind === "buffered",
     };
@@ -224,9 +252,16 @@
         retryAfterSeconds: QUARANTINE_RETRY_AFTER_SECONDS,
       });
     }
-    this.#context.services.retryBudgetOf(this.#service).recordRequest();
+    // The entry that passed the request on has counted it.
+    if (this.#context.origin === "caller") {
+      this.#context.services.retryBudgetOf(this.#service).recordRequest();
+    }
     const queue = this.#context.services.queueOf(this.#service);
-    if (queue.hasRequestsAhead(this.#makeQueuedRequest("first"))) {
+    const isForwarded =
+      this.#context.forwarder.reachOf(this.#service) === "cut";
+    if (
+      !isForwarded && queue.hasRequestsAhead(this.#makeQueuedRequest("first"))
+    ) {
       this.#enqueue("first");
     } else void this.#startAttempt("first");
   }
@@ -266,6 +301,10 @@
     this.#isPlacing = true;
     const { discovery } = this.#context;
     if (!discovery.isUsable) await discovery.whenUsable();
+    if (this.#passOn(reason)) {
+      this.#isPlacing = false;
+      return;
+    }
     const result = await this.#context.placer.chooseAfterProbing(
       this.#service,
       this.#placementRequest(reason),
@@ -285,6 +324,27 @@
     this.#enqueue(reason);
   }
 
+  /**
+   * Passes the request on to a peer if this entry does not reach the servers;
+   * returns whether the attempt is settled. A request that comes from a peer is
+   * refused instead, so that none is passed on twice.
+   */
+  #passOn(reason: AttemptReason): boolean {
+    const { forwarder, origin } = this.#context;
+    const reach = forwarder.reachOf(this.#service);
+    const isNeeded = reach === "cut" ||
+      reach === "no-new-connections" && this.#hasFailedToConnect;
+    if (!isNeeded || this.#hasEnded || this.#writer.hasSentHead) return false;
+    if (origin === "peer") {
+      this.#fail("no-server");
+      return true;
+    }
+    const peer = forwarder.choose(this.#service, this.#history.tried);
+    if (peer === undefined) return false;
+    this.#launch(peer.placement, peer.connections, reason, true);
+    return true;
+  }
+
   /**
    * Queues the request if a server may get one within its maximum wait;
    * otherwise refuses it at once.
@@ -337,14 +397,15 @@
       onDequeued: (decision) => {
         this.#queuedRequest = undefined;
         if (this.#hasEnded) return;
-        if (decision === "try") void this.#startAttempt(reason);
+        const isCut = this.#context.forwarder.reachOf(this.#service) === "cut";
+        if (decision === "try" || isCut) void this.#startAttempt(reason);
         else this.#onShed(reason);
       },
     };
   }
 
   #sendAttempt(placement: Placement, reason: AttemptReason): void {
-    const { server, candidateCount } = placement;
+    const { server } = placement;
     const { id } = server.registration;
     const usableServer = this.#context.servers.find(id);
     if (usableServer === undefined) return this.#fail("no-server");
@@ -352,25 +413,42 @@
     if (!server.restrictions.trySpend(this.#context.clock())) {
       return void this.#startAttempt(reason);
     }
+    this.#launch(placement, usableServer.connections, reason, false);
+  }
+
+  #launch(
+    placement: Placement,
+    connections: ServerConnections,
+    reason: AttemptReason,
+    isForward: boolean,
+  ): void {
+    const { server, candidateCount } = placement;
+    const { id } = server.registration;
     this.#history.recordStart(id);
     if (reason === "first") {
       this.#waitedMilliseconds = this.#elapsedMilliseconds;
     }
     const attempt = new ServerAttempt({
       placement,
-      connections: usableServer.connections,
+      isForward,
+      connections,
       protocol: this.#context.protocol,
       requestId: this.#requestId,
       method: this.#request.method ?? "GET",
       path: this.#request.url ?? "/",
-      headers: this.#forwardedHeaders(id),
+      headers: this.#forwardedHeaders(isForward ? undefined : id),
       body: this.#body,
       connectTimeoutMilliseconds: this.#context.connectTimeoutMilliseconds,
       clock: this.#context.clock,
       hooks: {
+        onConnection: () => {
+          if (!isForward) this.#context.reach.recordConnection(this.#service);
+        },
         onAnswerHead: (attempt, answer) => this.#onAnswerHead(attempt, answer),
-        onStatement: ({ server }, { headers }, kind) =>
-          this.#context.statements.recordAnswer(server, headers, kind),
+        onStatement: ({ server }, { headers }, kind) => {
+          if (isForward) return;
+          this.#context.statements.recordAnswer(server, headers, kind);
+        },
         onBufferedAnswer: (attempt, answer) =>
           this.#onBufferedAnswer(attempt, answer),
         onStreamedAnswer: (attempt, answer) =>
@@ -384,15 +462,24 @@
     }
     this.#context.onInFlightChange();
     this.#runningAttempts.add(attempt);
-    if (reason !== "first") {
+    if (isForward) {
+      this.#context.metrics.incrementCounter("requests_passed_on");
+    }
+    if (reason !== "first" || isForward) {
       this.#log.attemptStarted(attempt, reason, candidateCount);
     }
-    if (this.#history.mayHedge(this.#limits)) this.#hedgeTimer.start();
+    if (isForward) this.#hedgeTimer.stop();
+    else if (this.#history.mayHedge(this.#limits)) this.#hedgeTimer.start();
   }
 
-  #forwardedHeaders(serverId: string): string[] {
+  /** Headers for a server, or for a peer if `serverId` is undefined. */
+  #forwardedHeaders(serverId: string | undefined): string[] {
     const { headers } = this.#context.protocol;
-    const replaced = new Set([headers.deadline, headers.expectedServer]);
+    const replaced = new Set([
+      headers.deadline,
+      headers.expectedServer,
+      ATTEMPTS_LEFT_HEADER,
+    ]);
     const body = this.#body;
     if (body.kind === "buffered") replaced.add("content-length");
     const forwarded = copyEndToEndHeaders(this.#request.rawHeaders, replaced);
@@ -401,7 +488,10 @@
       Math.floor(this.#remainingMilliseconds - RETURN_TRIP_MILLISECONDS),
     );
     forwarded.push(headers.deadline, String(forwardedMilliseconds));
-    forwarded.push(headers.expectedServer, serverId);
+    if (serverId === undefined) {
+      const left = this.#limits.maximumAttempts - this.#history.serversReached;
+      forwarded.push(ATTEMPTS_LEFT_HEADER, String(Math.max(1, left)));
+    } else forwarded.push(headers.expectedServer, serverId);
     const hasDeclaredLength =
       this.#request.headers["content-length"] !== undefined;
     if (body.kind === "buffered") {
@@ -443,6 +533,8 @@
   }
 
   #onAnswerHead(attempt: ServerAttempt, answer: IncomingMessage): void {
+    if (attempt.isForward) return;
+    this.#context.reach.recordAnswer(this.#service);
     const report = this.#context.protocol.readLoad(answer.headers);
     if (report === undefined) return;
     const now = this.#context.clock();
@@ -467,7 +559,10 @@
    */
   #retryAfterServerError(): boolean {
     if (this.#runningAttempts.size > 0 || this.#isPlacing) return true;
-    if (!this.#mayRetry() || this.#remainingMilliseconds <= 0) return false;
+    if (
+      this.#isForwardSpent || !this.#mayRetry() ||
+      this.#remainingMilliseconds <= 0
+    ) return false;
     if (!this.#hasOtherServer("retry")) return false;
     if (!this.#context.services.retryBudgetOf(this.#service).trySpend()) {
       return false;
@@ -497,7 +592,8 @@
     this.#context.crashDetector.recordAnswer(() => this.#fingerprint());
     this.#history.recordEnd({ kind: "answered", status });
     this.#releaseServer(attempt, status >= 500 ? "failed" : "answered");
-    if (status >= 400) return;
+    if (attempt.isForward) this.#isForwardSpent = true;
+    if (status >= 400 || attempt.isForward) return;
     const { lastReport, slots } = attempt.server;
     const { load } = attempt.placementInputs;
     const answerMilliseconds = attempt.timeToHeadMilliseconds ??
@@ -511,7 +607,9 @@
     });
   }
 
-  #onFailure(attempt: ServerAttempt, evidence: AttemptEvidence): void {
+  #onFailure(attempt: ServerAttempt, failure: AttemptEvidence): void {
+    const evidence = attempt.isForward ? evidenceOfPeer(failure) : failure;
+    this.#recordReach(attempt, evidence);
     this.#history.recordEnd(evidence);
     this.#releaseServer(attempt, this.#serverOutcomeOf(attempt, evidence));
     if (evidence.kind === "cancelled") return;
@@ -520,15 +618,31 @@
       this.#lastUnusableReason = evidence.why;
     }
     if (this.#hasEnded) {
-      if (evidence.kind === "broken") void this.#checkForCrash(attempt);
+      if (evidence.kind === "broken" && !attempt.isForward) {
+        void this.#checkForCrash(attempt);
+      }
       return;
     }
     if (this.#writer.hasSentHead) return this.#abortAnswer(attempt);
-    if (evidence.kind === "broken") {
+    if (evidence.kind === "broken" && !attempt.isForward) {
       void this.#checkForCrash(attempt).then(() => this.#retryOrFail(evidence));
     } else this.#retryOrFail(evidence);
   }
 
+  /** Records what a failed attempt says of the way to the servers. */
+  #recordReach(
+    { isForward, server }: ServerAttempt,
+    { kind }: AttemptEvidence,
+  ): void {
+    const hasNotRun = kind === "not-connected" || kind === "refused-by-peer";
+    if (isForward) this.#isForwardSpent ||= !hasNotRun;
+    else if (kind === "not-connected") {
+      this.#hasFailedToConnect = true;
+      const { id } = server.registration;
+      this.#context.reach.recordFailure(this.#service, id, "connection");
+    }
+  }
+
   #checkForCrash({ server }: ServerAttempt): Promise<void> {
     return this.#context.crashDetector.checkForCrash(
       () => this.#fingerprint(),
@@ -540,22 +654,18 @@
     if (this.#hasEnded || this.#writer.hasSentHead) return;
     if (this.#runningAttempts.size > 0 || this.#isPlacing) return;
     if (this.#remainingMilliseconds <= 0) return this.#fail("time-out");
-    const isRetryFree = evidence.kind === "not-connected";
+    const isRetryFree = evidence.kind === "not-connected" ||
+      evidence.kind === "refused-by-peer";
     const budget = this.#context.services.retryBudgetOf(this.#service);
     if (this.#mayRetry() && (isRetryFree || budget.trySpend())) {
       return void this.#startAttempt("retry");
     }
-    this.#fail(
-      evidence.kind === "refused-by-server"
-        ? "servers-refused"
-        : "attempt-broken",
-    );
+    this.#fail(causeOf(evidence));
   }
 
   #mayRetry(): boolean {
-    return !this.#context.crashDetector.isQuarantined(() =>
-      this.#fingerprint()
-    ) &&
+    return !this.#isForwardSpent &&
+      !this.#context.crashDetector.isQuarantined(() => this.#fingerprint()) &&
       this.#history.mayRetry(this.#limits, this.#writer.hasSentHead);
   }
 
@@ -658,8 +768,12 @@
     if (retryAfterSeconds !== undefined) {
       headers.push("Retry-After", String(retryAfterSeconds));
     }
+    const { origin, protocol } = this.#context;
     if (this.#requestId !== "") {
-      headers.push(this.#context.protocol.headers.requestId, this.#requestId);
+      headers.push(protocol.headers.requestId, this.#requestId);
+    }
+    if (origin === "peer" && !UNKNOWN_STATUSES.has(status)) {
+      headers.push(protocol.headers.notExecuted, "1");
     }
     const reason = this.#lastUnusableReason === undefined
       ? cause
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -18,6 +18,7 @@
 import { Placer } from "./placer.ts";
 import { RequestExchange } from "./request_exchange.ts";
 import { ServerStatements } from "./server_statements.ts";
+import { ServerReach } from "@marigoldford/kernel/server_reach";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
 
@@ -158,6 +159,9 @@
       writeEvent: () => {},
     }),
     discovery: { isUsable: true, whenUsable: () => Promise.resolve() },
+    reach: new ServerReach(clock),
+    forwarder: { reachOf: () => "reached", choose: () => undefined },
+    origin: "caller",
     isReady: () => true,
     isAccepting: () => true,
     mayKeepConnections: () => true,
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -27,6 +27,8 @@
 
 export type AttemptOptions = {
   readonly placement: Placement;
+  /** Whether the request is passed on to a peer in place of a server. */
+  readonly isForward: boolean;
   readonly connections: ServerConnections;
   readonly protocol: CallerProtocol;
   readonly requestId: string;
@@ -80,6 +82,8 @@
     attempt: ServerAttempt,
     answer: StreamedAnswer,
   ) => void;
+  /** A new connection was opened for the attempt. */
+  readonly onConnection: (attempt: ServerAttempt) => void;
   /** The attempt ended without a complete answer. */
   readonly onFailure: (
     attempt: ServerAttempt,
@@ -180,6 +184,10 @@
     return this.#options.placement.server;
   }
 
+  get isForward(): boolean {
+    return this.#options.isForward;
+  }
+
   get hasEnded(): boolean {
     return this.#phase === "ended";
   }
@@ -253,7 +261,10 @@
     );
     if (!socket.connecting) return this.#onConnected();
     socket.setNoDelay(true);
-    socket.once("connect", () => this.#onConnected());
+    socket.once("connect", () => {
+      this.#options.hooks.onConnection(this);
+      this.#onConnected();
+    });
   }
 
   #onConnected(): void {
--- a/packages/kernel/src/attempt_history.ts
+++ b/packages/kernel/src/attempt_history.ts
@@ -37,6 +37,11 @@
     return this.#tried.size;
   }
 
+  /** Backend servers to which any byte of the request was sent. */
+  get serversReached(): number {
+    return this.#serversReached;
+  }
+
   get running(): number {
     return this.#running;
   }
--- a/packages/kernel/src/attempt_outcome.ts
+++ b/packages/kernel/src/attempt_outcome.ts
@@ -4,7 +4,7 @@
  *
  * A request counts as not run only on one of two proofs: no byte of it was
  * passed to a connection, or the backend server itself said that it did not
- * execute it. Nothing else, however likely, permits the outcome `not-run` or
+ * execute it, to this entry or to the peer that passed the request on. Nothing else, however likely, permits the outcome `not-run` or
  * the retry of an at-most-once request.
  */
 import type { RouteKind } from "./routing_snapshot.ts";
@@ -13,6 +13,8 @@
 export type AttemptEvidence =
   | { readonly kind: "not-connected" }
   | { readonly kind: "refused-by-server"; readonly status: number }
+  /** A peer said that it sent the request to no server that ran it. */
+  | { readonly kind: "refused-by-peer"; readonly status: number }
   | { readonly kind: "broken"; readonly hadAnswerBegun: boolean }
   | { readonly kind: "timed-out" }
   | { readonly kind: "unusable-answer"; readonly why: string }
@@ -26,6 +28,7 @@
   switch (evidence.kind) {
     case "not-connected":
     case "refused-by-server":
+    case "refused-by-peer":
       return "not-run";
     case "broken":
     case "timed-out":
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -234,6 +234,13 @@
     );
   }
 
+  /** Forgets failures that were those of the way to the server. */
+  forgive(now: number): void {
+    this.#recordAnswer();
+    this.#lastFailureRate = 0;
+    this.#blockedUntilMilliseconds = now;
+  }
+
   #block(milliseconds: number, now: number): void {
     this.#blockedUntilMilliseconds = Math.max(
       this.#blockedUntilMilliseconds,
--- a/packages/model/src/attempt_check.ts
+++ b/packages/model/src/attempt_check.ts
@@ -50,6 +50,7 @@
 const EVIDENCE_KINDS: readonly EvidenceKind[] = [
   "not-connected",
   "refused-by-server",
+  "refused-by-peer",
   "broken",
   "timed-out",
   "unusable-answer",
@@ -60,6 +61,7 @@
 const NOT_RUN_EVIDENCE: ReadonlySet<EvidenceKind> = new Set([
   "not-connected",
   "refused-by-server",
+  "refused-by-peer",
 ]);
 /** Possible only after the server has run the request. */
 const RUN_EVIDENCE: ReadonlySet<EvidenceKind> = new Set(["answered"]);
@@ -67,6 +69,7 @@
 function makeEvidence(evidence: EvidenceKind): AttemptEvidence {
   switch (evidence) {
     case "refused-by-server":
+    case "refused-by-peer":
       return { kind: evidence, status: 503 };
     case "broken":
       return { kind: evidence, hadAnswerBegun: false };
