--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -107,6 +107,7 @@
     }],
     isForDomain: true,
   },
+  { kind: "reach", from: "abc", unreached: ["web"] },
   { kind: "crash", from: "abc", fingerprint: "f", server: "10.0.0.9:80" },
 ];
 const CHANGES = [
@@ -308,6 +309,10 @@
       return expectUsableFreshness(message.news);
     case "who":
       return message.tags.forEach((tag) => expect(tag).toBeTypeOf("number"));
+    case "reach":
+      return message.unreached.forEach((service) =>
+        expect(service).toMatch(/^[^]{1,256}$/)
+      );
     case "load":
       expect(message.inFlight).toBeInstanceOf(Uint8Array);
       expect(message.reports).toBeInstanceOf(Uint8Array);
