Discovery: a difference applies to each of the last versions, not to one

Two entries watch and batch versions differently while a configuration changes every 80 ms. A receiver that had followed one of them could not apply what the other sent, and depended on the first alone, or on a listing after 300 ms.

A difference now holds every route that the last versions touched, up to 64 routes, and names the versions that it applies to.

--- a/packages/gateway/src/discovery_exchange.ts
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -8,14 +8,12 @@
   comparePositions,
   positionOf,
 } from "@marigoldford/kernel/discovery_position";
-import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import {
   MissingRevision,
   type StateProgress,
 } from "@marigoldford/kernel/missing_revision";
-import type { RoutingSnapshot } from "@marigoldford/kernel/routing_snapshot";
-import { snapshotDifference } from "@marigoldford/kernel/snapshot_difference";
+import { SnapshotHistory } from "@marigoldford/kernel/snapshot_difference";
 import {
   type Departure,
   TransitDelays,
@@ -57,6 +55,7 @@
   readonly #options: DiscoveryExchangeOptions;
   readonly #missingRevision: MissingRevision;
   readonly #transitDelays: TransitDelays;
+  readonly #snapshots = new SnapshotHistory();
   #listingRequestedAt = -Infinity;
   #clockNumber = 0;
 
@@ -94,7 +93,7 @@
     }
     const frame = {
       kind: "update",
-      ...compact(update),
+      ...this.#compact(update),
       ageMilliseconds: update.ageMilliseconds,
       departure: this.#departure(),
     } as const;
@@ -165,6 +164,34 @@
     });
   }
 
+  /**
+   * An update with the last of its snapshots, told as the difference to those
+   * that peers have.
+   */
+  #compact(
+    { baseSnapshot, ageMilliseconds: _, changes, ...update }: DiscoveryUpdate,
+  ): PeerUpdate {
+    const history = this.#snapshots;
+    if (baseSnapshot !== undefined) history.add(baseSnapshot);
+    let last = baseSnapshot;
+    for (const change of changes) {
+      if (change.kind !== "snapshot") continue;
+      history.add(change.snapshot);
+      const { version } = change.snapshot;
+      if (last === undefined || version > last.version) last = change.snapshot;
+    }
+    const others = changes.filter(({ kind }) => kind !== "snapshot");
+    if (last === undefined || last === baseSnapshot && !update.isListing) {
+      return { ...update, changes: others };
+    }
+    const difference = history.difference();
+    if (update.isListing || difference?.version !== last.version) {
+      const whole = { kind: "snapshot", snapshot: last } as const;
+      return { ...update, changes: [whole, ...others] };
+    }
+    return { ...update, changes: others, snapshotDifference: difference };
+  }
+
   #departure(): Departure {
     const { self, clock } = this.#options;
     const name = `${self}.${this.#clockNumber}`;
@@ -219,38 +246,3 @@
     send();
   }
 }
-
-/**
- * An update with the last of its snapshots, told as the difference to the one
- * that peers at the base revision have.
- */
-function compact(
-  { baseSnapshot, ageMilliseconds: _, changes, ...update }: DiscoveryUpdate,
-): PeerUpdate {
-  const snapshot = lastSnapshot(changes);
-  if (snapshot === undefined) return { ...update, changes };
-  const others = changes.filter(({ kind }) => kind !== "snapshot");
-  const whole = { kind: "snapshot", snapshot } as const;
-  if (baseSnapshot === undefined || update.isListing) {
-    return { ...update, changes: [whole, ...others] };
-  }
-  if (baseSnapshot.version >= snapshot.version) {
-    return { ...update, changes: others };
-  }
-  const difference = snapshotDifference(baseSnapshot, snapshot);
-  return difference === undefined
-    ? { ...update, changes: [whole, ...others] }
-    : { ...update, changes: others, snapshotDifference: difference };
-}
-
-function lastSnapshot(
-  changes: readonly DiscoveryChange[],
-): RoutingSnapshot | undefined {
-  let last: RoutingSnapshot | undefined;
-  for (const change of changes) {
-    if (change.kind !== "snapshot") continue;
-    if (last !== undefined && change.snapshot.version <= last.version) continue;
-    last = change.snapshot;
-  }
-  return last;
-}
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -232,7 +232,10 @@
     if (snapshot !== undefined && snapshot.version >= difference.version) {
       return update;
     }
-    if (snapshot?.version !== difference.baseVersion) return undefined;
+    const { baseVersions } = difference;
+    if (snapshot === undefined || !baseVersions.includes(snapshot.version)) {
+      return undefined;
+    }
     const next = applySnapshotDifference(snapshot, difference);
     const change = { kind: "snapshot", snapshot: next } as const;
     return { ...update, changes: [change, ...update.changes] };
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -129,7 +129,7 @@
     revision: 9,
     changes: CHANGES,
     snapshotDifference: {
-      baseVersion: 1,
+      baseVersions: [1],
       removedRoutes: ["old"],
       ...SNAPSHOT,
     },
@@ -274,7 +274,7 @@
   );
 
   it("whose snapshot difference is odd is refused as a whole", () => {
-    const frame = { ...FRAMES[0], snapshotDifference: { baseVersion: 1 } };
+    const frame = { ...FRAMES[0], snapshotDifference: { baseVersions: [1] } };
     expect(decodeFleetFrame(encode(frame)).isErr()).toBe(true);
   });
 
--- a/packages/kernel/src/foreign_state.ts
+++ b/packages/kernel/src/foreign_state.ts
@@ -152,7 +152,11 @@
 ): Read<SnapshotDifference> {
   return readObject(value, path).andThen((fields) =>
     Result.combine([
-      readInteger(fields.baseVersion, "baseVersion"),
+      readList(
+        fields.baseVersions,
+        "baseVersions",
+        (version) => readInteger(version, "baseVersion"),
+      ),
       readInteger(fields.version, "version"),
       readList(fields.routes, "routes", readRoute),
       readList(
@@ -163,8 +167,8 @@
       readList(fields.services, "services", readService),
       readLimits(fields.limits),
     ])
-  ).map(([baseVersion, version, routes, removedRoutes, services, limits]) => ({
-    baseVersion,
+  ).map(([baseVersions, version, routes, removedRoutes, services, limits]) => ({
+    baseVersions,
     version,
     routes,
     removedRoutes,
--- a/packages/kernel/src/snapshot_difference_test.ts
+++ b/packages/kernel/src/snapshot_difference_test.ts
@@ -7,7 +7,7 @@
 import type { RoutingSnapshot, SnapshotRoute } from "./routing_snapshot.ts";
 import {
   applySnapshotDifference,
-  snapshotDifference,
+  SnapshotHistory,
 } from "./snapshot_difference.ts";
 
 const SEED = 20_261_205;
@@ -48,22 +48,28 @@
   }) as fastCheck.Arbitrary<RoutingSnapshot>;
 }
 
-it("a difference makes the next snapshot, whatever has changed", () => {
-  let differences = 0;
+it("a difference makes the last snapshot of each that it applies to", () => {
+  let applied = 0;
   fastCheck.assert(
     fastCheck.property(
-      snapshotArbitrary(1),
-      snapshotArbitrary(2),
-      (base, next) => {
-        const difference = snapshotDifference(base, next);
-        if (difference === undefined) return;
-        differences += 1;
-        expect(applySnapshotDifference(base, difference)).toEqual(next);
+      fastCheck.tuple(
+        ...[1, 2, 3, 4].map((version) => snapshotArbitrary(version)),
+      ),
+      (snapshots) => {
+        const history = new SnapshotHistory();
+        for (const snapshot of snapshots) history.add(snapshot);
+        const difference = history.difference();
+        for (const base of snapshots) {
+          if (!difference?.baseVersions.includes(base.version)) continue;
+          applied += 1;
+          expect(applySnapshotDifference(base, difference))
+            .toEqual(snapshots.at(-1));
+        }
       },
     ),
     { seed: SEED, numRuns: 5_000 },
   );
-  expect(differences).toBeGreaterThan(100);
+  expect(applied).toBeGreaterThan(100);
 });
 
 it("a difference holds only the routes that have changed", () => {
@@ -91,10 +97,50 @@
     version: 2,
     routes: [route("a", 0), route("c", 1), route("d", 0)],
   };
-  expect(snapshotDifference(base, next)).toMatchObject({
-    baseVersion: 1,
-    version: 2,
-    routes: [route("c", 1), route("d", 0)],
+  const last = {
+    ...base,
+    version: 3,
+    routes: [route("a", 0), route("c", 2), route("d", 0)],
+  };
+  const history = new SnapshotHistory();
+  for (const snapshot of [base, next, base, last]) history.add(snapshot);
+  expect(history.difference()).toMatchObject({
+    baseVersions: [2, 1],
+    version: 3,
+    routes: [route("c", 2), route("d", 0)],
     removedRoutes: ["b"],
   });
 });
+
+it("a difference applies to the last version only where an earlier one touched many routes", () => {
+  const routes = (priority: number): SnapshotRoute[] =>
+    Array.from({ length: 1_600 }, (_, index) => ({
+      name: `route-${index}`,
+      host: "shop.example",
+      pathPrefix: `/${index}/`,
+      kind: "idempotent",
+      timeoutMilliseconds: 100,
+      objectiveMilliseconds: 10,
+      priority,
+      maximumAttempts: 1,
+      services: [{ service: "web", weight: 1 }],
+    }));
+  const limits = {
+    maximumHeaderBytes: 1,
+    maximumBodyBytes: 1,
+    headerTimeoutMilliseconds: 1,
+    idleTimeoutMilliseconds: 1,
+  };
+  const history = new SnapshotHistory();
+  const common = { services: [], limits };
+  const all = routes(1);
+  history.add({ ...common, version: 1, routes: routes(0) });
+  history.add({ ...common, version: 2, routes: all });
+  history.add({
+    ...common,
+    version: 3,
+    routes: all.with(5, { ...all[5], priority: 7 }),
+  });
+  expect(history.difference()?.baseVersions).toEqual([2]);
+  expect(history.difference()?.routes).toHaveLength(1);
+});
