Statements of servers: what peers tell counts from when the server said it

The same cause as for discovery state: a statement that waited on its way counted as new on arrival, and replaced what the server had said since. The departure of messages and the time on their way move to message_clock.ts, which both use.

--- a/packages/gateway/src/discovery_exchange.ts
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -14,10 +14,6 @@
   type StateProgress,
 } from "@marigoldford/kernel/missing_revision";
 import { SnapshotHistory } from "@marigoldford/kernel/snapshot_difference";
-import {
-  type Departure,
-  TransitDelays,
-} from "@marigoldford/kernel/transit_delay";
 import type { Address, Clock, FailureDomain } from "@marigoldford/kernel/types";
 import type { DatagramSocket } from "./datagram_socket.ts";
 import type {
@@ -26,6 +22,7 @@
   PeerUpdate,
 } from "./discovery_synchronizer.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
+import type { Aged, MessageClock } from "./message_clock.ts";
 import type { WriteEvent } from "./events.ts";
 import type { DiscoveryFreshness, FleetFrame } from "./fleet_messages.ts";
 import type { FrameConnections, FrameReply } from "./frame_connections.ts";
@@ -36,6 +33,7 @@
   /** Every entry uses the port of this address for frames. */
   readonly meshAddress: Address;
   readonly clock: Clock;
+  readonly messageClock: MessageClock;
   readonly discovery: DiscoverySynchronizer;
   readonly peers: () => readonly MemberRecord[];
   readonly datagramSocket: Pick<DatagramSocket, "send">;
@@ -43,8 +41,6 @@
   readonly writeEvent: WriteEvent;
 };
 
-/** How old a state is that a message tells of. */
-type Aged = Pick<DiscoveryFreshness, "ageMilliseconds" | "departure">;
 type UpdateFrame = Extract<FleetFrame, { kind: "update" }>;
 
 const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
@@ -54,15 +50,12 @@
 export class DiscoveryExchange {
   readonly #options: DiscoveryExchangeOptions;
   readonly #missingRevision: MissingRevision;
-  readonly #transitDelays: TransitDelays;
   readonly #snapshots = new SnapshotHistory();
   #listingRequestedAt = -Infinity;
-  #clockNumber = 0;
 
   constructor(options: DiscoveryExchangeOptions) {
     this.#options = options;
     this.#missingRevision = new MissingRevision(options.clock);
-    this.#transitDelays = new TransitDelays(options.clock);
   }
 
   /** How fresh the state of this entry is, for a message that is sent now. */
@@ -70,16 +63,6 @@
     return { ...this.#options.discovery.freshness, ...this.#ageNow() };
   }
 
-  /** Called after the clock of this entry may have stood still. */
-  renewClock(): void {
-    this.#clockNumber += 1;
-  }
-
-  /** Forgets what is known of the messages of entries that are gone. */
-  expire(): void {
-    this.#transitDelays.expire();
-  }
-
   /** Sends peers what the discovery service has answered. */
   sendUpdate(update: DiscoveryUpdate): void {
     const { self, failureDomain } = this.#options;
@@ -95,7 +78,7 @@
       kind: "update",
       ...this.#compact(update),
       ageMilliseconds: update.ageMilliseconds,
-      departure: this.#departure(),
+      departure: this.#options.messageClock.departure(),
     } as const;
     const others = receiversInOtherDomains(
       { incarnation: self, failureDomain },
@@ -110,7 +93,7 @@
   /** Records how fresh the state of a peer is, which may be ahead. */
   receiveFreshness(freshness: DiscoveryFreshness, sender: Address): void {
     const { discovery, meshAddress, frameConnections } = this.#options;
-    const ageMilliseconds = this.#ageOnArrival(freshness);
+    const ageMilliseconds = this.#options.messageClock.ageOnArrival(freshness);
     if (discovery.recordPeerFreshness({ ...freshness, ageMilliseconds })) {
       return;
     }
@@ -128,7 +111,7 @@
     const { discovery, clock } = this.#options;
     switch (frame.kind) {
       case "update": {
-        const ageMilliseconds = this.#ageOnArrival(frame);
+        const ageMilliseconds = this.#options.messageClock.ageOnArrival(frame);
         this.#logUpdate(frame, ageMilliseconds);
         this.#relay(frame, ageMilliseconds);
         if (!discovery.applyPeerUpdate(frame, ageMilliseconds)) {
@@ -145,7 +128,10 @@
         return;
       }
       case "reading":
-        discovery.applyPeerListing(frame.reading, this.#ageOnArrival(frame));
+        discovery.applyPeerListing(
+          frame.reading,
+          this.#options.messageClock.ageOnArrival(frame),
+        );
         return;
     }
   }
@@ -159,7 +145,7 @@
     this.#sendFrame(peersInDomain(peers(), failureDomain), {
       ...frame,
       ageMilliseconds: Math.min(ageMilliseconds, Number.MAX_SAFE_INTEGER),
-      departure: this.#departure(),
+      departure: this.#options.messageClock.departure(),
       isForDomain: false,
     });
   }
@@ -192,25 +178,13 @@
     return { ...update, changes: others, snapshotDifference: difference };
   }
 
-  #departure(): Departure {
-    const { self, clock } = this.#options;
-    const name = `${self}.${this.#clockNumber}`;
-    return { clock: name, atMilliseconds: clock() };
-  }
-
   /** Age of the own state, in a message that is sent now. */
   #ageNow(): Aged {
     const { ageMilliseconds } = this.#options.discovery.freshness;
-    return { ageMilliseconds, departure: this.#departure() };
-  }
-
-  /**
-   * Age of the state in a message that arrives now, with the time on its way;
-   * infinite if the message does not say when it was sent.
-   */
-  #ageOnArrival({ ageMilliseconds, departure }: Aged): number {
-    if (departure === undefined) return Infinity;
-    return ageMilliseconds + this.#transitDelays.record(departure);
+    return {
+      ageMilliseconds,
+      departure: this.#options.messageClock.departure(),
+    };
   }
 
   #logUpdate(frame: UpdateFrame, ageMilliseconds: number): void {
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -98,6 +98,7 @@
     readonly kind: "statements";
     readonly from: string;
     readonly statements: readonly SharedStatement[];
+    readonly departure?: Departure;
     /** Whether the receiver forwards it to the peers of its failure domain. */
     readonly isForDomain: boolean;
   }
@@ -280,8 +281,12 @@
       }));
     case "statements":
       // Each statement is checked where it is recorded.
-      return readArray(message.statements, "statements").map((statements) => ({
+      return Result.combine([
+        readArray(message.statements, "statements"),
+        readOptional(message, "departure", readDeparture),
+      ]).map(([statements, departure]) => ({
         statements,
+        ...departure,
         isForDomain: message.isForDomain === true,
       }));
     case "reach":
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { FrameConnections } from "./frame_connections.ts";
 import { CallServer } from "./call_server.ts";
 import { LoadExchange } from "./load_exchange.ts";
+import { MessageClock } from "./message_clock.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import type { GatewayOptions } from "./options.ts";
 import {
@@ -161,6 +162,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #router = new SnapshotRouter(Math.random);
   readonly #services: ServiceStates;
+  readonly #messageClock: MessageClock;
   readonly #statements: ServerStatements;
   readonly #servers: ServerTable;
   readonly #datagramSocket: DatagramSocket;
@@ -217,7 +219,9 @@
       onRefused: (peer, detail) => this.#logRefusedMessage(peer, detail),
     });
     this.#fleet = this.#makeFleet();
+    this.#messageClock = new MessageClock(this.#incarnation, clock);
     this.#statements = new ServerStatements({
+      messageClock: this.#messageClock,
       self: this.#incarnation,
       failureDomain: instance.failureDomain,
       clock,
@@ -249,6 +253,7 @@
         ),
     });
     this.#exchange = new DiscoveryExchange({
+      messageClock: this.#messageClock,
       self: this.#incarnation,
       failureDomain: instance.failureDomain,
       meshAddress: instance.meshAddress,
@@ -359,7 +364,7 @@
     this.#runEvery(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => {
       this.#logTraffic();
       this.#forgetStatements();
-      this.#exchange.expire();
+      this.#messageClock.expire();
     });
   }
 
@@ -622,7 +627,7 @@
       milliseconds: PAUSE_THRESHOLD_MILLISECONDS,
     });
     this.#discovery.markStale();
-    this.#exchange.renewClock();
+    this.#messageClock.renew();
   }
 
   #forgetStatements(): void {
--- a/packages/gateway/src/narrow_links_test.ts
+++ b/packages/gateway/src/narrow_links_test.ts
@@ -22,6 +22,7 @@
   type FleetDatagram,
   type FleetFrame,
 } from "./fleet_messages.ts";
+import { MessageClock } from "./message_clock.ts";
 import { TUNING } from "./tuning.ts";
 
 // Vitest's fake timers do not cover node:timers/promises.
@@ -237,6 +238,7 @@
       failureDomain,
       meshAddress,
       clock,
+      messageClock: new MessageClock(self, clock),
       discovery,
       peers: () => members.filter((peer) => peer !== member),
       datagramSocket: {
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -16,6 +16,7 @@
 import type { ExchangeContext } from "./exchange_context.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { Placer } from "./placer.ts";
+import { MessageClock } from "./message_clock.ts";
 import { RequestExchange } from "./request_exchange.ts";
 import { ServerStatements } from "./server_statements.ts";
 import { ServerReach } from "@marigoldford/kernel/server_reach";
@@ -68,6 +69,7 @@
   const protocol = CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap();
   const metrics = new GatewayMetrics();
   const statements = new ServerStatements({
+    messageClock: new MessageClock("self", clock),
     self: "entry-1",
     failureDomain: "north",
     clock,
--- a/packages/gateway/src/server_statements.ts
+++ b/packages/gateway/src/server_statements.ts
@@ -20,6 +20,7 @@
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
+import type { MessageClock } from "./message_clock.ts";
 import type { WriteEvent } from "./events.ts";
 import type { FleetDatagram, SharedStatement } from "./fleet_messages.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -28,6 +29,7 @@
   readonly self: MemberRecord["incarnation"];
   readonly failureDomain: MemberRecord["failureDomain"];
   readonly clock: Clock;
+  readonly messageClock: MessageClock;
   readonly random: RandomSource;
   readonly protocol: CallerProtocol;
   readonly socket: Pick<DatagramSocket, "send">;
@@ -135,9 +137,16 @@
 
   /** Records what a peer tells of servers. */
   receive(datagram: StatementsDatagram): void {
-    const { clock, socket, peers, failureDomain } = this.#options;
+    const { clock, messageClock, socket, peers, failureDomain } = this.#options;
     const now = clock();
-    for (const shared of validStatements(datagram.statements)) {
+    const waited = messageClock.waitedMilliseconds(datagram.departure);
+    // Builds before do not say when they sent it.
+    const waitedMilliseconds = Number.isFinite(waited) ? waited : 0;
+    const statements = validStatements(datagram.statements).map((shared) => ({
+      ...shared,
+      ageMilliseconds: shared.ageMilliseconds + waitedMilliseconds,
+    }));
+    for (const shared of statements) {
       if (this.#runs.size >= MAXIMUM_RUNS && !this.#runs.has(keyOf(shared))) {
         continue;
       }
@@ -154,7 +163,12 @@
     socket.send(
       receivers.filter(({ incarnation }) => incarnation !== datagram.from)
         .map(({ datagramAddress }) => datagramAddress),
-      { ...datagram, isForDomain: false },
+      {
+        ...datagram,
+        statements,
+        departure: messageClock.departure(),
+        isForDomain: false,
+      },
     );
   }
 
@@ -219,7 +233,8 @@
 
   #sendBatch(): void {
     this.#timer = undefined;
-    const { self, failureDomain, socket, peers, clock } = this.#options;
+    const { self, failureDomain, socket, peers, clock, messageClock } =
+      this.#options;
     const now = clock();
     const all = [...this.#unshared].map(({ run, restrictions }) => ({
       ...run,
@@ -241,6 +256,7 @@
       const datagram = {
         kind: "statements",
         from: self,
+        departure: messageClock.departure(),
         statements: all.slice(at, at + MAXIMUM_STATEMENTS),
       } as const;
       for (
