A cut entry without a peer refuses after one failed connection

A request at an entry that reaches no server, and no peer that does, was tried at one server after the other, 250 ms each, until its deadline, although its failure was known. It is now refused as not run after the first connection that fails, and at once if a peer passed it on. Entries that only lack new connections tell their peers nothing.

--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -186,7 +186,7 @@
     this.#forgetPeers();
     const elapsed = this.#options.clock() - this.#toldAtMilliseconds;
     const isDue = elapsed >= TELL_INTERVAL_MILLISECONDS;
-    if (isDue && this.#unreached.size > 0) this.#tell();
+    if (isDue && this.cutServices > 0) this.#tell();
   }
 
   #checkServers(service: ServiceName): void {
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -326,8 +326,9 @@
 
   /**
    * Passes the request on to a peer if this entry does not reach the servers;
-   * returns whether the attempt is settled. A request that comes from a peer is
-   * refused instead, so that none is passed on twice.
+   * returns whether the attempt is settled. Without such a peer a request is
+   * refused once a connection has failed, and at once if it comes from a peer,
+   * so that none is passed on twice.
    */
   #passOn(reason: AttemptReason): boolean {
     const { forwarder, origin } = this.#context;
@@ -335,12 +336,15 @@
     const isNeeded = reach === "cut" ||
       reach === "no-new-connections" && this.#hasFailedToConnect;
     if (!isNeeded || this.#hasEnded || this.#writer.hasSentHead) return false;
-    if (origin === "peer") {
-      this.#fail("no-server");
-      return true;
+    const peer = origin === "peer"
+      ? undefined
+      : forwarder.choose(this.#service, this.#history.tried);
+    if (peer === undefined) {
+      const isHopeless = reach === "cut" && this.#runningAttempts.size === 0 &&
+        (origin === "peer" || this.#hasFailedToConnect);
+      if (isHopeless) this.#fail("no-server");
+      return isHopeless;
     }
-    const peer = forwarder.choose(this.#service, this.#history.tried);
-    if (peer === undefined) return false;
     this.#launch(peer.placement, peer.connections, reason, true);
     return true;
   }
