A peer says that a request has not run only as its attempts prove it

Every refusal of a peer but 502 and 504 was marked as not run, also a 413 after a part of a streamed body had gone to a server. The mark follows the history of the attempts, as the answer to callers does. Found when reading the change again; no test fails without it.

--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -87,9 +87,6 @@
   return Number((Math.max(RETRY_AFTER_SECONDS, seconds) + spread).toFixed(3));
 }
 
-/** Statuses of this entry's own answers that do not say "not run". */
-const UNKNOWN_STATUSES: ReadonlySet<number> = new Set([502, 504]);
-
 /** What a failed attempt proves that was passed on to a peer. */
 function evidenceOfPeer(evidence: AttemptEvidence): AttemptEvidence {
   return evidence.kind === "refused-by-server"
@@ -776,7 +773,7 @@
     if (this.#requestId !== "") {
       headers.push(protocol.headers.requestId, this.#requestId);
     }
-    if (origin === "peer" && !UNKNOWN_STATUSES.has(status)) {
+    if (origin === "peer" && this.#history.outcome(false) === "not-run") {
       headers.push(protocol.headers.notExecuted, "1");
     }
     const reason = this.#lastUnusableReason === undefined
