--- a/review/4/run.js
+++ b/review/4/run.js
@@ -1,7 +1,8 @@
 /**
- * The operator adds a route to a service whose work takes longer than the
- * route's `slo_s`, but much less than its timeout and the clients' deadline.
- * Compares how often its requests and those of the first route are served.
+ * All machines of a zone are partitioned from all targets by resets. Most of
+ * the zone's callers look up the same page. Compares how often first tries are
+ * served at these machines and at the others, from `contact_s` after the begin
+ * of the cut until its end.
  */
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -9,123 +10,140 @@
 import { Clients } from "../stand_ins/clients.js";
 import { HOST, makeConfiguration } from "../stand_ins/configuration.js";
 import { Fleet } from "../stand_ins/fleet.js";
+import { Cut, Gate } from "../stand_ins/gate.js";
 import { Recorder } from "../stand_ins/recorder.js";
 import { Store } from "../stand_ins/store.js";
 import { Target } from "../stand_ins/target.js";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const ZONES = ["a", "b", "c", "d"];
-const FIRST = { service: "look", workMilliseconds: 81 };
-const ADDED = { service: "ledger", workMilliseconds: 400 };
-/** Six slots each: 144 for each service, of which the added route needs 64. */
-const TARGETS = 24;
-/** By route, at four machines; on scale-1 of wsr-gateway it is 43 a machine. */
-const FIRST_PER_SECOND = 40;
-const ADDED_PER_SECOND = 160;
-const DEADLINE_MILLISECONDS = 1_500;
-/** As the other routes have it; with TROUBLE=0 the work fits. */
-const ADDED_SLO_SECONDS = HAS_TROUBLE ? 0.25 : 1;
-const MEASURED_MILLISECONDS = 10_000;
-/** `config_apply_s`, and as long again. */
-const APPLY_MILLISECONDS = 4_000;
+const ENTRIES = { a: 2, b: 2, c: 2, d: 3 };
+const TARGETS_PER_ZONE = 3;
+const CUT_ZONE = "d";
+const CONTACT_MILLISECONDS = 3_000;
+const CUT_MILLISECONDS = 8_000;
+/**
+ * Requests a second by zone: those of zone d as in lk-west-gampaha on the day
+ * scale-1 of wsr-gateway, fewer in the others.
+ */
+const RATES = { a: 50, b: 50, c: 50, d: 156 };
+/** `expiry-lookup` has 63 in 100 of the requests there. */
+const LOOKUP_SHARE = 0.63;
+const LOOKUP = { service: "look", workMilliseconds: 81 };
+const BOOKING = { service: "desk", workMilliseconds: 110 };
 
 const recorder = new Recorder();
 const { record } = recorder;
 const runs = new Map();
 const store = new Store();
 const targets = [];
-const counts = { first: { sent: 0, served: 0 }, added: { sent: 0, served: 0 } };
-let isMeasuring = false;
+const gates = [];
+const tries = [];
+const cut = new Cut();
 let fleet;
 let clients;
 
-async function addTargets({ service, workMilliseconds }) {
-  for (let index = 0; index < TARGETS; index++) {
-    const target = new Target({
-      id: `i-${service}-${index}`,
-      service,
-      zone: ZONES[index % ZONES.length],
-      workMilliseconds,
-      runs,
-      record,
-    });
-    await target.open("127.0.0.31");
-    store.put(`servers/${target.id}`, target.registration());
-    targets.push(target);
-  }
+async function addTarget(id, zone, { service, workMilliseconds }) {
+  const target = new Target({
+    id,
+    service,
+    zone,
+    workMilliseconds,
+    runs,
+    record,
+  });
+  await target.open("127.0.0.31");
+  const gate = new Gate(target, cut);
+  const address = await gate.open("127.0.0.32");
+  store.put(`servers/${id}`, target.registration(address));
+  targets.push(target);
+  gates.push(gate);
 }
 
-async function sendUntilStopped({ path, perSecond, count }, state) {
+/** One first try: a lookup of the zone's page, or a booking of its own. */
+function sendTry(entry, number) {
+  const isLookup = Math.random() < LOOKUP_SHARE;
+  const options = isLookup
+    ? { path: `/${LOOKUP.service}/read/site-${entry.zone}` }
+    : {
+      method: "POST",
+      path: `/${BOOKING.service}/write/helmet-${number}`,
+      body: `helmet ${number}`,
+    };
+  void clients.send(entry, { host: HOST, ...options })
+    .then((end) => tries.push(end));
+}
+
+/** Sends the requests of a zone to its machines in turn. */
+async function sendUntilStopped(zone, state) {
   const startedAt = performance.now();
+  const entries = fleet.entries.filter((entry) => entry.zone === zone);
   for (let number = 0; !state.isStopped; number++) {
-    const entry = fleet.entries[number % fleet.entries.length];
-    const isCounted = isMeasuring;
-    const end = clients.send(entry, {
-      host: HOST,
-      path: `${path}${number}`,
-      deadline: DEADLINE_MILLISECONDS,
-    });
-    void end.then(({ status }) => {
-      if (!isCounted) return;
-      count.sent += 1;
-      if (status === 200) count.served += 1;
-    });
-    const nextAt = startedAt + (number + 1) * 1_000 / perSecond;
+    sendTry(entries[number % entries.length], `${zone}-${number}`);
+    const nextAt = startedAt + (number + 1) * 1_000 / RATES[zone];
     const wait = nextAt - performance.now();
     if (wait > 0) await sleep(wait);
   }
 }
 
+function count(from, until, isCut) {
+  const counted = tries.filter(({ sentAt, entry }) =>
+    sentAt >= from && sentAt < until &&
+    (fleet.entries[entry].zone === CUT_ZONE) === isCut
+  );
+  const served = counted.filter(({ status }) => status === 200).length;
+  return { sent: counted.length, served };
+}
+
 async function run() {
   const storeAddress = await store.open("127.0.0.30");
-  const first = makeConfiguration(1, [FIRST.service, ADDED.service]);
-  const added = first.resources.find(({ metadata }) =>
-    metadata.name === `idempotent-${ADDED.service}`
+  store.put(
+    "op/config",
+    makeConfiguration(1, [LOOKUP.service, BOOKING.service]),
   );
-  store.put("op/config", {
-    version: 1,
-    resources: first.resources.filter((resource) => resource !== added),
-  });
-  await addTargets(FIRST);
-  await addTargets(ADDED);
+  for (const zone of ZONES) {
+    for (let index = 0; index < TARGETS_PER_ZONE; index++) {
+      await addTarget(`i-look-${zone}${index}`, zone, LOOKUP);
+      await addTarget(`i-desk-${zone}${index}`, zone, BOOKING);
+    }
+  }
   fleet = new Fleet({ storeAddress });
-  await fleet.start(ZONES);
+  await fleet.start(
+    ZONES.flatMap((zone) => Array(ENTRIES[zone]).fill(zone)),
+  );
   clients = new Clients(record);
   const state = { isStopped: false };
-  const traffic = [
-    sendUntilStopped({
-      path: `/${FIRST.service}/read/`,
-      perSecond: FIRST_PER_SECOND,
-      count: counts.first,
-    }, state),
-  ];
-  await sleep(2_000);
-  added.spec.slo_s = ADDED_SLO_SECONDS;
-  store.put("op/config", { version: 2, resources: first.resources });
-  record("route-added", { slo_s: ADDED_SLO_SECONDS });
-  await sleep(APPLY_MILLISECONDS / 2);
-  traffic.push(
-    sendUntilStopped({
-      path: `/${ADDED.service}/read/`,
-      perSecond: ADDED_PER_SECOND,
-      count: counts.added,
-    }, state),
-  );
-  await sleep(APPLY_MILLISECONDS / 2);
-  isMeasuring = true;
-  await sleep(MEASURED_MILLISECONDS);
-  isMeasuring = false;
+  const traffic = ZONES.map((zone) => sendUntilStopped(zone, state));
+  await sleep(3_000);
+  const cutEntries = fleet.entries.filter(({ zone }) => zone === CUT_ZONE);
+  const begin = performance.now();
+  record("cut-begins", { entries: cutEntries.map(({ index }) => index) });
+  if (HAS_TROUBLE) await cut.begin("reset", cutEntries, gates);
+  await sleep(CUT_MILLISECONDS);
+  const end = performance.now();
+  cut.end();
+  record("cut-ends");
+  await sleep(3_000);
   state.isStopped = true;
   await Promise.all(traffic);
   await clients.settle();
-  const shares = Object.values(counts).map(({ sent, served }) => served / sent);
-  const text = `first route served ${counts.first.served} of ` +
-    `${counts.first.sent}, added route ${counts.added.served} of ` +
-    `${counts.added.sent}`;
+  const from = begin + CONTACT_MILLISECONDS;
+  const atCut = count(from, end, true);
+  const atOthers = count(from, end, false);
+  const after = count(end, Infinity, true);
+  const failedThere = atCut.sent - atCut.served;
+  const allowed = 10 + (atCut.sent + atOthers.sent) / 50;
+  const isRarelyServed = atCut.served / atCut.sent <
+    2 / 3 * atOthers.served / atOthers.sent;
+  const isBroken = isRarelyServed && failedThere > allowed;
+  const text = `cut machines served ${atCut.served} of ${atCut.sent}, ` +
+    `the others ${atOthers.served} of ${atOthers.sent}; failed there ` +
+    `${failedThere}, allowed ${allowed}; in the seconds after the cut ` +
+    `${after.served} of ${after.sent}`;
   record("total", { text });
   process.stdout.write(`${text}\n`);
-  if (counts.added.sent < 20 || shares[0] < 0.5) return 2;
-  return shares[1] < shares[0] / 4 ? 1 : 0;
+  if (atOthers.served < atOthers.sent / 2) return 2;
+  return isBroken ? 1 : 0;
 }
 
 let code = 2;
@@ -137,6 +155,7 @@
 clients?.close();
 await fleet?.stop();
 for (const target of targets) target.exit();
+for (const gate of gates) gate.close();
 store.close();
 recorder.write(fileURLToPath(new URL("record.txt", import.meta.url)));
 process.exit(code);
--- a/review/stand_ins/target.js
+++ b/review/stand_ins/target.js
@@ -71,6 +71,24 @@
     };
   }
 
+  /** Goes silent: nothing is answered any more, no connection is closed. */
+  crash() {
+    this.isDark = true;
+    for (const { id } of this.#running) {
+      this.#record("cut-by-crash", { id, target: this.id });
+    }
+    this.#running.clear();
+    this.#queue = [];
+  }
+
+  /** Starts again under the same id and address, with nothing of before. */
+  restart() {
+    for (const socket of this.#sockets) socket.destroy();
+    this.isDark = false;
+    this.#born = Date.now();
+    this.#sequence = 0;
+  }
+
   /** Ends like a process that exits: open connections are closed. */
   exit() {
     this.#server.close();
@@ -104,6 +122,7 @@
 
   #serve(request, response) {
     response.sendDate = false;
+    if (this.isDark) return;
     if (request.method === "GET" && request.url === "/health") {
       return this.#answer(response, this.isLeaving ? 503 : 200, {
         "Instance-Id": this.id,
@@ -113,7 +132,9 @@
     }
     const chunks = [];
     request.on("data", (chunk) => chunks.push(chunk));
-    request.on("end", () => this.#admit(request, response));
+    request.on("end", () => {
+      if (!this.isDark) this.#admit(request, response);
+    });
   }
 
   #admit(request, response) {
@@ -159,10 +180,14 @@
     this.#running.add(work);
     this.#runs.set(id, (this.#runs.get(id) ?? 0) + 1);
     this.#record("runs", { id, target: this.id });
+    if (this.crashesOn?.(request)) {
+      this.onCrash(id);
+      return;
+    }
     const deadline = Number(request.headers["deadline-ms"] ?? Infinity);
     const isLate = deadline < this.workMilliseconds;
     setTimeout(() => {
-      if (work.isGone || this.hasExited) return;
+      if (!this.#running.has(work)) return;
       this.#running.delete(work);
       const signature = `${this.id}.${id}`;
       const headers = {
