A server that says it leaves gets no more requests after a bound

What callers saw: an entry without the discovery service went on sending requests to a server whose answers said `Server-Leaving: 1`, until the server exited. Requests that ran then were lost: at-most-once ones got 502.

Cause: no code read the statement, neither in answers nor in health checks. The discovery service was the only source that takes a server out of use. A failing health check makes a server only a less likely choice, so a busy service used it further.

Change: the statement is decoded once and kept by run of a server (id and birth) beside its limit, so that only a restart takes it back. The decision is in ServerRestrictions, which first attempts, retries, hedges, queued requests and requests of peers ask when they are placed and again when they are sent. For half of the bound a leaving server gets the requests that no other server has room for, so that a service near its capacity loses no more room than it has to; then none. Health checks tell it too. Peers are told at once and again while it is said, so that entries which start meanwhile learn of it. A peer that passes an answer on names the server, as both entries have passed on what the server says; the header is limited to the connection between them.

Builds side by side: the statements message has a new field that the build before ignores, also when it relays it; without the field limits are read as before. A build that does not know the new header drops it, since Connection lists it.

Also moved: what a caller is told of a failure, from request_exchange.ts to failure.ts; no change there.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -6,12 +6,15 @@
 import { endAfterRequest } from "@marigoldford/http_answers/end_after_request";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
 import type { BufferedAnswer, StreamedAnswer } from "./server_attempt.ts";
+import type { ServerRun } from "./server_statements.ts";
 
 export type AnswerWriterOptions = {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   /** Whether the connection stays open after the answer. */
   readonly mayKeepConnection: (response: ServerResponse) => boolean;
+  /** Raw headers that are added to the answers of a server. */
+  readonly addedHeaders: (server: ServerRun) => readonly string[];
 };
 
 export class AnswerWriter {
@@ -26,11 +29,12 @@
   }
 
   /** Forwards a buffered answer of a backend server. */
-  writeBuffered({ head, body }: BufferedAnswer): void {
+  writeBuffered({ head, body }: BufferedAnswer, server: ServerRun): void {
     const raw = copyEndToEndHeaders(
       head.rawHeaders,
       new Set(["content-length"]),
     );
+    raw.push(...this.#options.addedHeaders(server));
     const status = statusOf(head);
     const hasBody = this.#options.request.method !== "HEAD" &&
       status !== 204 && status !== 304;
@@ -50,14 +54,14 @@
    */
   writeStreamed(
     { head, chunks }: StreamedAnswer,
+    server: ServerRun,
     onEnd: (bytes: number) => void,
   ): void {
-    const { response } = this.#options;
-    this.#writeHead(
-      statusOf(head),
-      head.statusMessage,
-      copyEndToEndHeaders(head.rawHeaders, new Set()),
-    );
+    const { response, addedHeaders } = this.#options;
+    this.#writeHead(statusOf(head), head.statusMessage, [
+      ...copyEndToEndHeaders(head.rawHeaders, new Set()),
+      ...addedHeaders(server),
+    ]);
     const buffered = Buffer.concat(chunks);
     response.write(buffered);
     let bytes = buffered.byteLength;
--- a/packages/gateway/src/caller_protocol.ts
+++ b/packages/gateway/src/caller_protocol.ts
@@ -47,7 +47,7 @@
 };
 
 const SAYS_NOTHING: StatementReading = {
-  statement: { requestLimit: "none" },
+  statement: { requestLimit: "none", isLeaving: false },
   malformed: [],
 };
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -6,6 +6,9 @@
 import type { RequestLimit } from "@marigoldford/kernel/server_restrictions";
 import type { PlacementInputs } from "./server_attempt.ts";
 
+/** By which way an entry learns what a server says of itself. */
+export type StatementSource = "answer" | "health-check" | "peer";
+
 export type GatewayEvent =
   | { event: "start"; entry: string; incarnation: string; domain: string }
   | {
@@ -39,6 +42,14 @@
     requestLimit: RequestLimit;
     from: string;
   }
+  | {
+    event: "server-leaving";
+    server: string;
+    /** Who said it: the server in an answer or health check, or a peer. */
+    from: StatementSource;
+    /** Time since the server said it first. */
+    ageMilliseconds: number;
+  }
   | { event: "server-statement-refused"; server: string; detail: string }
   | { event: "entry-changed"; entry: string; change: string; state: string }
   | {
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -61,6 +61,14 @@
   readonly ageMilliseconds: number;
 };
 
+/** A run of a backend server that says that it leaves. */
+export type SharedLeaving = {
+  readonly id: string;
+  readonly bornAtMilliseconds: number;
+  /** Time since the server said so first. */
+  readonly ageMilliseconds: number;
+};
+
 export type FleetDatagram =
   | {
     readonly kind: "members";
@@ -98,6 +106,8 @@
     readonly kind: "statements";
     readonly from: string;
     readonly statements: readonly SharedStatement[];
+    /** Earlier builds do not tell it. */
+    readonly leaving?: readonly SharedLeaving[];
     readonly departure?: Departure;
     /** Whether the receiver forwards it to the peers of its failure domain. */
     readonly isForDomain: boolean;
@@ -283,9 +293,11 @@
       // Each statement is checked where it is recorded.
       return Result.combine([
         readArray(message.statements, "statements"),
+        readOptional(message, "leaving", readArray),
         readOptional(message, "departure", readDeparture),
-      ]).map(([statements, departure]) => ({
+      ]).map(([statements, leaving, departure]) => ({
         statements,
+        ...leaving,
         ...departure,
         isForDomain: message.isForDomain === true,
       }));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,6 @@
 import { RateBudget } from "@marigoldford/kernel/rate_budget";
 import { IdleLimit } from "@marigoldford/kernel/idle_limit";
 import { ServerReach } from "@marigoldford/kernel/server_reach";
-import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Address } from "@marigoldford/kernel/types";
 import { EventLog } from "@marigoldford/logger/event_log";
@@ -226,6 +225,8 @@
       failureDomain: instance.failureDomain,
       clock,
       random: Math.random,
+      leavingEffectMilliseconds: options.bounds.leavingEffectSeconds *
+        MILLISECONDS_IN_SECOND,
       protocol: dependencies.protocol,
       socket: this.#datagramSocket,
       peers: () => this.#fleet.members.livePeers(),
@@ -287,6 +288,8 @@
       areReportsExchanged: () => this.#loadExchange.isActive,
       healthPathOf: (service) => this.#router.service(service)?.healthPath,
       onReport: (server) => this.#loadExchange.queueReport(server),
+      onHealthCheck: ({ registration }, headers) =>
+        this.#statements.recordAnswer(registration, headers, "health-check"),
       onProbe: () => this.#metrics.incrementCounter("probes"),
     });
     this.#placer = new Placer({
@@ -363,7 +366,7 @@
     this.#runEvery(HOUSEKEEPING_INTERVAL_MILLISECONDS, () => this.#housekeep());
     this.#runEvery(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => {
       this.#logTraffic();
-      this.#forgetStatements();
+      this.#statements.expire(this.#servers.restrictions());
       this.#messageClock.expire();
     });
   }
@@ -630,12 +633,6 @@
     this.#messageClock.renew();
   }
 
-  #forgetStatements(): void {
-    const used = new Set<ServerRestrictions>();
-    for (const { load } of this.#servers.all()) used.add(load.restrictions);
-    this.#statements.expire((restrictions) => used.has(restrictions));
-  }
-
   /**
    * Whether the wall clock has shifted against the monotonic clock, which does
    * not advance while the instance is suspended.
@@ -657,20 +654,14 @@
     });
   }
 
-  #countLimitedServers(): number {
-    let count = 0;
-    for (const { load } of this.#servers.all()) {
-      if (load.restrictions.requestLimit !== "none") count += 1;
-    }
-    return count;
-  }
-
   #metricsText(): string {
+    const { limited, leaving } = this.#servers.restrictedCounts;
     return this.#metrics.text({
       requests_in_progress: this.#inProgress,
       unreached_services: this.#forwarder.cutServices,
       servers: this.#servers.size,
-      limited_servers: this.#countLimitedServers(),
+      limited_servers: limited,
+      leaving_servers: leaving,
       peers: this.#fleet.members.livePeers().length,
       configuration_version: this.#router.snapshot?.version ?? 0,
       discovery_era: this.#discovery.state.era,
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -105,6 +105,7 @@
       requestLimit: 1.5,
       ageMilliseconds: 2,
     }],
+    leaving: [{ id: "server-3", bornAtMilliseconds: 1, ageMilliseconds: 2 }],
     isForDomain: true,
   },
   { kind: "reach", from: "abc", unreached: ["web"] },
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -19,7 +19,7 @@
   FailureDomain,
   ServiceName,
 } from "@marigoldford/kernel/types";
-import type { AnswerHead } from "./answer_head.ts";
+import type { AnswerHead, AnswerHeaders } from "./answer_head.ts";
 import { type CallerProtocol, singleHeader } from "./caller_protocol.ts";
 import { ProbeConnection } from "./probe_connection.ts";
 import type { ServerTable } from "./server_table.ts";
@@ -49,6 +49,8 @@
   readonly areReportsExchanged: () => boolean;
   readonly healthPathOf: (service: ServiceName) => string | undefined;
   readonly onReport: (server: ServerLoad) => void;
+  /** Is told the headers of a health check that the server itself answered. */
+  readonly onHealthCheck: (server: ServerLoad, headers: AnswerHeaders) => void;
   readonly onProbe: () => void;
   readonly reach: ServerReach;
 };
@@ -232,10 +234,11 @@
   }
 
   #onAnswer(server: ServerLoad, { status, headers }: AnswerHead): void {
-    const { protocol, clock, onReport } = this.#options;
+    const { protocol, clock, onReport, onHealthCheck } = this.#options;
     const { id } = server.registration;
     if (singleHeader(headers, protocol.headers.serverId) !== id) return;
     server.recordReportedHealth(status === HEALTHY_STATUS);
+    onHealthCheck(server, headers);
     const report = protocol.readLoad(headers);
     if (report === undefined) return server.recordMissingReport();
     if (server.recordReport(report, clock())) onReport(server);
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -33,9 +33,14 @@
   type RefusalCause,
 } from "./admission.ts";
 import { AnswerWriter, statusOf } from "./answer_writer.ts";
+import {
+  answeringServerHeaders,
+  readAnsweringServer,
+} from "./answering_server.ts";
 import { headerValue } from "./caller_protocol.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import { ExchangeLog, type ExchangeProgress } from "./exchange_log.ts";
+import { causeOf, evidenceOfPeer, retryAfterSeconds } from "./failure.ts";
 import { HedgeTimer } from "./hedge_timer.ts";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
 import { readBody, type RequestBody } from "./request_body.ts";
@@ -53,58 +58,9 @@
 const MAXIMUM_HEDGE_CROSS_DOMAIN_COST_OBJECTIVES = 0.3;
 /** Subtracted from the deadline sent on, as the answer takes time to return. */
 const RETURN_TRIP_MILLISECONDS = 2;
-/** `Retry-After` when no backend server could run the request. */
-const RETRY_AFTER_SECONDS = 0.2;
-/**
- * `Retry-After` under overload: bursts last for seconds, and earlier retries
- * add to them.
- */
-const OVERLOAD_RETRY_AFTER_SECONDS = 0.5;
 /** A request that crashes backend servers should not be retried soon. */
 const QUARANTINE_RETRY_AFTER_SECONDS = 30;
 
-/** Added to `Retry-After` at random, so that callers do not return at once. */
-const RETRY_SPREAD_SECONDS = 0.3;
-const MILLISECONDS_IN_SECOND = 1_000;
-
-/**
- * When a caller should retry. Where servers take no request of this entry for
- * some time, others may take one sooner.
- */
-function retryAfterSeconds(
-  cause: RefusalCause,
-  heldBackMilliseconds: number | undefined,
-): number {
-  if (cause === "no-room" || cause === "peers-refused") {
-    return OVERLOAD_RETRY_AFTER_SECONDS;
-  }
-  if (heldBackMilliseconds === undefined) return RETRY_AFTER_SECONDS;
-  const seconds = Math.min(
-    heldBackMilliseconds / MILLISECONDS_IN_SECOND,
-    OVERLOAD_RETRY_AFTER_SECONDS,
-  );
-  const spread = Math.random() * RETRY_SPREAD_SECONDS;
-  return Number((Math.max(RETRY_AFTER_SECONDS, seconds) + spread).toFixed(3));
-}
-
-/** What a failed attempt proves that was passed on to a peer. */
-function evidenceOfPeer(evidence: AttemptEvidence): AttemptEvidence {
-  return evidence.kind === "refused-by-server"
-    ? { kind: "refused-by-peer", status: evidence.status }
-    : evidence;
-}
-
-function causeOf({ kind }: AttemptEvidence): RefusalCause {
-  switch (kind) {
-    case "refused-by-server":
-      return "servers-refused";
-    case "refused-by-peer":
-      return "peers-refused";
-    default:
-      return "attempt-broken";
-  }
-}
-
 /** A hedge runs alongside another attempt, a retry follows a failed one. */
 type AttemptReason = "first" | "retry" | "hedge";
 
@@ -148,6 +104,9 @@
       request,
       response,
       mayKeepConnection: context.mayKeepConnections,
+      addedHeaders: context.origin === "peer"
+        ? answeringServerHeaders
+        : () => [],
     });
     this.#requestId =
       headerValue(request, context.protocol.headers.requestId) ?? "";
@@ -446,9 +405,12 @@
           if (!isForward) this.#context.reach.recordConnection(this.#service);
         },
         onAnswerHead: (attempt, answer) => this.#onAnswerHead(attempt, answer),
-        onStatement: ({ server }, { headers }, kind) => {
-          if (isForward) return;
-          this.#context.statements.recordAnswer(server, headers, kind);
+        onStatement: (_, { headers }, carrier) => {
+          const run = isForward
+            ? readAnsweringServer(headers)
+            : server.registration;
+          if (run === undefined) return;
+          this.#context.statements.recordAnswer(run, headers, carrier);
         },
         onBufferedAnswer: (attempt, answer) =>
           this.#onBufferedAnswer(attempt, answer),
@@ -550,7 +512,7 @@
     if (this.#hasEnded) return;
     if (status >= 500 && this.#retryAfterServerError()) return;
     this.#end();
-    this.#writer.writeBuffered(answer);
+    this.#writer.writeBuffered(answer, attempt.server.registration);
     this.#log.answered(attempt, this.#route, this.#progress);
   }
 
@@ -576,7 +538,8 @@
     if (this.#hasEnded) return attempt.cancel();
     this.#cancelAttemptsExcept(attempt);
     this.#hedgeTimer.stop();
-    this.#writer.writeStreamed(answer, async (bytes) => {
+    const { registration } = attempt.server;
+    this.#writer.writeStreamed(answer, registration, async (bytes) => {
       const isComplete = await attempt.isComplete(answer.head);
       if (this.#hasEnded || attempt.hasEnded) return;
       if (!isComplete) return attempt.timeOut();
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -1,5 +1,6 @@
 /**
- * Tests how an exchange ends when the timer of its deadline fires early.
+ * Tests how an exchange ends when the timer of its deadline fires early, and
+ * what entries tell each other of the server that answered.
  */
 import { once } from "node:events";
 import {
@@ -11,14 +12,20 @@
 import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { afterEach, expect, it } from "vitest";
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
-import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
+import {
+  CALLER_PROTOCOLS,
+  makeHeaderProtocol,
+  type StatementReader,
+} from "./caller_protocol.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { Placer } from "./placer.ts";
 import { MessageClock } from "./message_clock.ts";
+import { copyEndToEndHeaders } from "./raw_headers.ts";
 import { RequestExchange } from "./request_exchange.ts";
 import { ServerStatements } from "./server_statements.ts";
+import { ServerLoad } from "@marigoldford/kernel/server_load";
 import { ServerReach } from "@marigoldford/kernel/server_reach";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
@@ -40,7 +47,10 @@
   return (server.address() as AddressInfo).port;
 }
 
-function makeContext(serverPort: number): ExchangeContext {
+function makeContext(
+  serverPort: number,
+  readStatement?: StatementReader,
+): ExchangeContext {
   const startedAt = performance.now();
   const clock = () =>
     startedAt + (performance.now() - startedAt) * (1 - CLOCK_LAG_SHARE);
@@ -66,7 +76,8 @@
       idleTimeoutMilliseconds: 1_000,
     },
   });
-  const protocol = CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap();
+  const { headers } = CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap();
+  const protocol = makeHeaderProtocol(headers, readStatement);
   const metrics = new GatewayMetrics();
   const statements = new ServerStatements({
     messageClock: new MessageClock("self", clock),
@@ -74,6 +85,7 @@
     failureDomain: "north",
     clock,
     random: () => 0,
+    leavingEffectMilliseconds: 2_000,
     socket: { send: () => {} },
     peers: () => [],
     members: () => [],
@@ -193,3 +205,91 @@
   answer.resume();
   expect(answer.statusCode).toBe(504);
 });
+
+const LEAVING_HEADER = "x-leaving";
+const readLeaving: StatementReader = (headers) => ({
+  statement: {
+    requestLimit: "none",
+    isLeaving: headers[LEAVING_HEADER] !== undefined,
+  },
+  malformed: [],
+});
+
+/** A backend server all of whose answers say that it leaves. */
+async function startLeavingServer(): Promise<number> {
+  return await listen(createServer((request, response) => {
+    const { headers } = CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap();
+    response.writeHead(200, {
+      [headers.requestId]: String(request.headers[headers.requestId]),
+      [headers.signature]: "server-1",
+      [LEAVING_HEADER]: "1",
+    }).end("done");
+  }));
+}
+
+async function startExchanges(context: ExchangeContext): Promise<number> {
+  return await listen(
+    createServer((request, response) =>
+      new RequestExchange(context, request, response).start(() => {})
+    ),
+  );
+}
+
+async function call(port: number): Promise<IncomingMessage> {
+  const [answer] = await once(
+    get({
+      port,
+      host: "127.0.0.1",
+      agent: false,
+      headers: { host: "shop.example", "marigoldford-request-id": "r1" },
+    }),
+    "response",
+  ) as [IncomingMessage];
+  answer.resume();
+  return answer;
+}
+
+// Guards against: an entry that had a request passed on by a peer sends a server
+// requests although it has passed on an answer that says the server leaves.
+it("an answer that a peer passes on tells both entries that its server leaves", async () => {
+  const atPeer = {
+    ...makeContext(await startLeavingServer(), readLeaving),
+    origin: "peer" as const,
+  };
+  const peerPort = await startExchanges(atPeer);
+  const run = { id: "server-1", bornAtMilliseconds: 0 };
+
+  const throughPeer = makeContext(peerPort, readLeaving);
+  const { load, connections } = throughPeer.servers.find("server-1")!;
+  const peer = new ServerLoad(
+    { ...load.registration, id: "peer-incarnation" },
+    throughPeer.clock(),
+  );
+  const context: ExchangeContext = {
+    ...throughPeer,
+    forwarder: {
+      reachOf: () => "cut",
+      choose: () => ({
+        placement: { server: peer, expectedMilliseconds: 0, candidateCount: 1 },
+        connections,
+      }),
+    },
+  };
+  const answer = await call(await startExchanges(context));
+  expect(answer.statusCode).toBe(200);
+  for (const { statements } of [atPeer, context]) {
+    expect(statements.restrictionsOf(run).isLeaving).toBe(true);
+  }
+  // A header between entries is of no use to callers.
+  expect(answer.rawHeaders.join(" ")).not.toContain("answering-server");
+});
+
+it("the header that names a server is limited to its connection", async () => {
+  const context = makeContext(await startLeavingServer(), readLeaving);
+  const port = await startExchanges({ ...context, origin: "peer" });
+  const { headers, rawHeaders } = await call(port);
+  expect(headers["marigoldford-answering-server"]).toBe("0 server-1");
+  expect(headers.connection).toContain("marigoldford-answering-server");
+  expect(copyEndToEndHeaders(rawHeaders, new Set()).join(" "))
+    .not.toContain("answering-server");
+});
--- a/packages/gateway/src/server_statements.ts
+++ b/packages/gateway/src/server_statements.ts
@@ -4,13 +4,12 @@
  *
  * Statements outlive the server's record: a server that is discovered again
  * without a restart is still bound by what it said. An entry tells its peers of
- * a change at once; while a limit is in force, whichever entry hears it repeats
- * it unless another has just done so.
+ * a change at once; while a statement is in force, whichever entry hears it
+ * repeats it unless another has just done so.
  */
 import { limitRank, shareOfLimit } from "@marigoldford/kernel/limit_share";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
-import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import {
   type RequestLimit,
   ServerRestrictions,
@@ -21,8 +20,12 @@
 import type { DatagramSocket } from "./datagram_socket.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
 import type { MessageClock } from "./message_clock.ts";
-import type { WriteEvent } from "./events.ts";
-import type { FleetDatagram, SharedStatement } from "./fleet_messages.ts";
+import type { StatementSource, WriteEvent } from "./events.ts";
+import type {
+  FleetDatagram,
+  SharedLeaving,
+  SharedStatement,
+} from "./fleet_messages.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 
 export type ServerStatementsOptions = {
@@ -31,6 +34,8 @@
   readonly clock: Clock;
   readonly messageClock: MessageClock;
   readonly random: RandomSource;
+  /** Time within which a server that says it leaves must get no more requests. */
+  readonly leavingEffectMilliseconds: number;
   readonly protocol: CallerProtocol;
   readonly socket: Pick<DatagramSocket, "send">;
   /** Peers that get statements. */
@@ -41,7 +46,15 @@
   readonly writeEvent: WriteEvent;
 };
 
-type Run = Pick<ServerRegistration, "id" | "bornAtMilliseconds">;
+/** One run of a server: a restart is another one. */
+export type ServerRun = Pick<ServerRegistration, "id" | "bornAtMilliseconds">;
+
+/**
+ * Answers to requests are complete or refuse the request; a health check says
+ * only whether its server leaves.
+ */
+export type StatementCarrier = "answer" | "refusal" | "health-check";
+
 type StatementsDatagram = Extract<FleetDatagram, { kind: "statements" }>;
 type LimitRank = ReturnType<typeof limitRank>;
 
@@ -53,6 +66,13 @@
 const BATCH_MILLISECONDS = 20;
 /** A limit in force is repeated after this, as datagrams are lost. */
 const REPEAT_MILLISECONDS = 2_000;
+/**
+ * That a server leaves is repeated after this, a fraction of the time within
+ * which it must take effect.
+ */
+const LEAVING_REPEAT_MILLISECONDS = 500;
+/** The rest of the time is left for requests in progress to end. */
+const LEAVING_USE_SHARE = 0.5;
 /** The end of a limit is repeated for this long. */
 const END_REPEATED_MILLISECONDS = 6_000;
 /** Statements of one datagram; they fit a typical packet. */
@@ -63,14 +83,14 @@
 const RANK_MILLISECONDS = 250;
 
 class KnownRun {
-  readonly run: Run;
+  readonly run: ServerRun;
   readonly restrictions: ServerRestrictions;
   usedAtMilliseconds: number;
   /** When this entry or a peer told the fleet what the server says. */
   sharedAtMilliseconds = -Infinity;
   changedAtMilliseconds = -Infinity;
 
-  constructor(run: Run, restrictions: ServerRestrictions, now: number) {
+  constructor(run: ServerRun, restrictions: ServerRestrictions, now: number) {
     this.run = { id: run.id, bornAtMilliseconds: run.bornAtMilliseconds };
     this.restrictions = restrictions;
     this.usedAtMilliseconds = now;
@@ -78,13 +98,16 @@
 
   /** Whether a statement that was just heard is to be told again. */
   isRepeatDue(now: number): boolean {
-    if (now - this.sharedAtMilliseconds < REPEAT_MILLISECONDS) return false;
+    const elapsed = now - this.sharedAtMilliseconds;
+    const { isLeaving } = this.restrictions;
+    if (isLeaving && elapsed >= LEAVING_REPEAT_MILLISECONDS) return true;
+    if (elapsed < REPEAT_MILLISECONDS) return false;
     return this.restrictions.requestLimit !== "none" ||
       now - this.changedAtMilliseconds < END_REPEATED_MILLISECONDS;
   }
 }
 
-function keyOf({ id, bornAtMilliseconds }: Run): string {
+function keyOf({ id, bornAtMilliseconds }: ServerRun): string {
   return `${id} ${bornAtMilliseconds}`;
 }
 
@@ -103,18 +126,19 @@
   }
 
   /** The restrictions of a run of a server, which later statements change. */
-  restrictionsOf(run: Run): ServerRestrictions {
+  restrictionsOf(run: ServerRun): ServerRestrictions {
     return this.#find(run).restrictions;
   }
 
   /**
-   * Records what the headers of a server's answer say of it. A refusal, which
-   * may come from a stage before the server's own, ends no limit.
+   * Records what the headers of an answer say of the run of a server that sent
+   * it. A refusal, which may come from a stage before the server's own, ends no
+   * limit.
    */
   recordAnswer(
-    { registration }: ServerLoad,
+    run: ServerRun,
     headers: AnswerHeaders,
-    kind: "answer" | "refusal",
+    carrier: StatementCarrier,
   ): void {
     const { protocol, clock, metrics, writeEvent } = this.#options;
     const { statement, malformed } = protocol.readStatement(headers);
@@ -122,17 +146,26 @@
       metrics.incrementCounter("server_statements_refused");
       writeEvent({
         event: "server-statement-refused",
-        server: registration.id,
+        server: run.id,
         detail,
       });
     }
-    if (kind === "refusal" && statement.requestLimit === "none") return;
+    const saysLimit = carrier === "answer" ||
+      carrier === "refusal" && statement.requestLimit !== "none";
+    if (!saysLimit && !statement.isLeaving) return;
     const now = clock();
-    const known = this.#find(registration);
-    if (known.restrictions.recordStatement(statement, now)) {
-      this.#onChange(known, "server");
-      this.#share(known);
-    } else if (known.isRepeatDue(now)) this.#share(known);
+    const known = this.#find(run);
+    let isChange = false;
+    if (saysLimit && known.restrictions.recordStatement(statement, now)) {
+      this.#onLimitChange(known, "server");
+      isChange = true;
+    }
+    if (statement.isLeaving && known.restrictions.recordLeaving(now)) {
+      const from = carrier === "health-check" ? carrier : "answer";
+      this.#onLeaving(known, from, 0);
+      isChange = true;
+    }
+    if (isChange || known.isRepeatDue(now)) this.#share(known);
   }
 
   /** Records what a peer tells of servers. */
@@ -142,21 +175,27 @@
     const waited = messageClock.waitedMilliseconds(datagram.departure);
     // Builds before do not say when they sent it.
     const waitedMilliseconds = Number.isFinite(waited) ? waited : 0;
-    const statements = validStatements(datagram.statements).map((shared) => ({
+    const onArrival = <Shared extends { readonly ageMilliseconds: number }>(
+      shared: Shared,
+    ): Shared => ({
       ...shared,
       ageMilliseconds: shared.ageMilliseconds + waitedMilliseconds,
-    }));
+    });
+    const statements = validStatements(datagram.statements).map(onArrival);
+    const leaving = validLeaving(datagram.leaving).map(onArrival);
     for (const shared of statements) {
-      if (this.#runs.size >= MAXIMUM_RUNS && !this.#runs.has(keyOf(shared))) {
-        continue;
-      }
-      const known = this.#find(shared);
-      known.sharedAtMilliseconds = now;
-      const isChange = known.restrictions.recordStatement(
+      const known = this.#findShared(shared);
+      const isChange = known?.restrictions.recordStatement(
         shared,
         now - shared.ageMilliseconds,
       );
-      if (isChange) this.#onChange(known, "peer");
+      if (known && isChange) this.#onLimitChange(known, "peer");
+    }
+    for (const shared of leaving) {
+      const { ageMilliseconds } = shared;
+      const known = this.#findShared(shared);
+      const isNew = known?.restrictions.recordLeaving(now - ageMilliseconds);
+      if (known && isNew) this.#onLeaving(known, "peer", ageMilliseconds);
     }
     if (!datagram.isForDomain) return;
     const receivers = peersInDomain(peers(), failureDomain);
@@ -166,6 +205,7 @@
       {
         ...datagram,
         statements,
+        leaving,
         departure: messageClock.departure(),
         isForDomain: false,
       },
@@ -173,17 +213,27 @@
   }
 
   /** Forgets runs of servers that are not `used` any more. */
-  expire(used: (run: ServerRestrictions) => boolean): void {
+  expire(used: ReadonlySet<ServerRestrictions>): void {
     const now = this.#options.clock();
     for (const [key, run] of this.#runs) {
-      if (used(run.restrictions)) run.usedAtMilliseconds = now;
+      if (used.has(run.restrictions)) run.usedAtMilliseconds = now;
       else if (now - run.usedAtMilliseconds > RETENTION_MILLISECONDS) {
         this.#runs.delete(key);
       }
     }
   }
 
-  #find(run: Run): KnownRun {
+  /** The run that a peer tells of, unless too many are known already. */
+  #findShared(shared: ServerRun): KnownRun | undefined {
+    if (this.#runs.size >= MAXIMUM_RUNS && !this.#runs.has(keyOf(shared))) {
+      return undefined;
+    }
+    const known = this.#find(shared);
+    known.sharedAtMilliseconds = this.#options.clock();
+    return known;
+  }
+
+  #find(run: ServerRun): KnownRun {
     const key = keyOf(run);
     const now = this.#options.clock();
     let known = this.#runs.get(key);
@@ -191,6 +241,7 @@
       const restrictions = new ServerRestrictions(
         this.#makeOwnShare(run.id),
         this.#options.random(),
+        this.#options.leavingEffectMilliseconds * LEAVING_USE_SHARE,
       );
       known = new KnownRun(run, restrictions, now);
       this.#runs.set(key, known);
@@ -214,7 +265,7 @@
     };
   }
 
-  #onChange(known: KnownRun, from: "server" | "peer"): void {
+  #onLimitChange(known: KnownRun, from: "server" | "peer"): void {
     known.changedAtMilliseconds = this.#options.clock();
     this.#options.writeEvent({
       event: "request-limit",
@@ -224,6 +275,19 @@
     });
   }
 
+  #onLeaving(
+    { run: { id } }: KnownRun,
+    from: StatementSource,
+    ageMilliseconds: number,
+  ): void {
+    this.#options.writeEvent({
+      event: "server-leaving",
+      server: id,
+      from,
+      ageMilliseconds: Math.round(ageMilliseconds),
+    });
+  }
+
   /** Tells the fleet with the next batch. */
   #share(known: KnownRun): void {
     known.sharedAtMilliseconds = this.#options.clock();
@@ -236,11 +300,7 @@
     const { self, failureDomain, socket, peers, clock, messageClock } =
       this.#options;
     const now = clock();
-    const all = [...this.#unshared].map(({ run, restrictions }) => ({
-      ...run,
-      requestLimit: restrictions.requestLimit,
-      ageMilliseconds: now - restrictions.limitSaidAtMilliseconds,
-    }));
+    const all = [...this.#unshared];
     this.#unshared.clear();
     const livePeers = peers();
     const others = receiversInOtherDomains(
@@ -257,7 +317,7 @@
         kind: "statements",
         from: self,
         departure: messageClock.departure(),
-        statements: all.slice(at, at + MAXIMUM_STATEMENTS),
+        ...sharedOf(all.slice(at, at + MAXIMUM_STATEMENTS), now),
       } as const;
       for (
         const { to, isForDomain } of [
@@ -274,19 +334,46 @@
   }
 }
 
+function sharedOf(
+  known: readonly KnownRun[],
+  now: number,
+): Pick<StatementsDatagram, "statements" | "leaving"> {
+  const statements: SharedStatement[] = [];
+  const leaving: SharedLeaving[] = [];
+  for (const { run, restrictions } of known) {
+    const { requestLimit, limitSaidAtMilliseconds, isLeaving } = restrictions;
+    if (limitSaidAtMilliseconds !== -Infinity) {
+      const ageMilliseconds = now - limitSaidAtMilliseconds;
+      statements.push({ ...run, requestLimit, ageMilliseconds });
+    }
+    if (!isLeaving) continue;
+    const ageMilliseconds = now - restrictions.leavingSinceMilliseconds;
+    leaving.push({ ...run, ageMilliseconds });
+  }
+  return { statements, leaving };
+}
+
 /** Leaves out statements that this build of an entry cannot have sent. */
 function validStatements(statements: unknown): SharedStatement[] {
   if (!Array.isArray(statements)) return [];
-  return statements.filter((statement: Partial<SharedStatement> | null) =>
-    typeof statement === "object" && statement !== null &&
-    typeof statement.id === "string" &&
-    Number.isFinite(statement.bornAtMilliseconds) &&
-    isRequestLimit(statement.requestLimit) &&
-    Number.isFinite(statement.ageMilliseconds) &&
-    Number(statement.ageMilliseconds) >= 0
+  return statements.filter((statement) =>
+    isOfRun(statement) && isRequestLimit(statement.requestLimit)
   );
 }
 
+function validLeaving(leaving: unknown): SharedLeaving[] {
+  return Array.isArray(leaving) ? leaving.filter(isOfRun) : [];
+}
+
+/** Whether it names a run of a server, and for how long something holds. */
+function isOfRun(shared: Partial<SharedStatement> | null): boolean {
+  return typeof shared === "object" && shared !== null &&
+    typeof shared.id === "string" &&
+    Number.isFinite(shared.bornAtMilliseconds) &&
+    Number.isFinite(shared.ageMilliseconds) &&
+    Number(shared.ageMilliseconds) >= 0;
+}
+
 function isRequestLimit(value: unknown): value is RequestLimit {
   return value === "none" ||
     typeof value === "number" && Number.isFinite(value) && value >= 0;
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -75,6 +75,22 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** What the servers have said of themselves. */
+  restrictions(): ReadonlySet<ServerRestrictions> {
+    const all = [...this.#servers.values()];
+    return new Set(all.map(({ load }) => load.restrictions));
+  }
+
+  /** How many servers have said something that restricts their use. */
+  get restrictedCounts(): { limited: number; leaving: number } {
+    const counts = { limited: 0, leaving: 0 };
+    for (const { load: { restrictions } } of this.#servers.values()) {
+      if (restrictions.requestLimit !== "none") counts.limited += 1;
+      if (restrictions.isLeaving) counts.leaving += 1;
+    }
+    return counts;
+  }
+
   /** Updates the table to the discovered backend servers. */
   sync(state: DiscoveryState): void {
     const now = this.#options.clock();
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -284,14 +284,15 @@
 
 /**
  * Selects one of `servers` for a request. Blocked servers are used only if
- * there are no others; servers that may get no request now are not used.
+ * there are no others, leaving ones only if no other has room; servers that may
+ * get no request now are not used.
  */
 export function place(
   servers: readonly ServerLoad[],
   request: PlacementRequest,
   context: PlacementContext,
 ): PlacementResult {
-  const { now, concurrencyLimit } = context;
+  const { now } = context;
   const inputs = { request, context };
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
@@ -308,6 +309,28 @@
   }
   const unblocked = allowed.filter((server) => !server.isBlocked(now));
   const candidates = unblocked.length > 0 ? unblocked : allowed;
+  const staying = candidates.filter(({ restrictions }) =>
+    !restrictions.isLeaving
+  );
+  const leaving = candidates.filter(({ restrictions }) =>
+    restrictions.isLeaving
+  );
+  if (leaving.length === 0) return selectBest(staying, inputs);
+  const placedElsewhere = selectBest(staying, inputs);
+  if (placedElsewhere.kind === "placed") return placedElsewhere;
+  const placed = selectBest(leaving, inputs);
+  return placed.kind === "placed" || staying.length === 0
+    ? placed
+    : placedElsewhere;
+}
+
+/** Selects the candidate with the lowest score among those with room. */
+function selectBest(
+  candidates: readonly ServerLoad[],
+  inputs: ScoringInputs,
+): PlacementResult {
+  const { request, context } = inputs;
+  const { concurrencyLimit } = context;
   let best: ServerLoad | undefined;
   let bestExpected = Infinity;
   let bestScore = Infinity;
--- a/packages/kernel/src/placement_test.ts
+++ b/packages/kernel/src/placement_test.ts
@@ -12,6 +12,7 @@
   type PlacementRequest,
 } from "./placement.ts";
 import { ServerLoad } from "./server_load.ts";
+import { ServerRestrictions } from "./server_restrictions.ts";
 
 const NOW = 1_000;
 const REQUEST: PlacementRequest = {
@@ -241,3 +242,43 @@
       .toBe(false);
   });
 });
+
+describe("servers that say that they leave", () => {
+  // Guards against: a request waits for a full server, or is refused, while a
+  // server that leaves still has room.
+  it("get a request only if no other server has room", () => {
+    const leaving = makeLeaving("leaving");
+    const idle = server({ id: "idle", slowdown: 3 });
+    const full = server({ id: "full", running: 6, waiting: 1 });
+    expect(chosenOf([leaving, idle])).toBe("idle");
+    expect(chosenOf([leaving, full])).toBe("leaving");
+    expect(chosenOf([leaving])).toBe("leaving");
+  });
+
+  it("get none later than their time of use", () => {
+    const servers = [makeLeaving("leaving", NOW - LEAVING_USE_MILLISECONDS)];
+    expect(place(servers, REQUEST, CONTEXT)).toEqual({
+      kind: "held-back",
+      milliseconds: Infinity,
+    });
+  });
+
+  const LEAVING_USE_MILLISECONDS = 500;
+
+  function makeLeaving(id: string, since = NOW): ServerLoad {
+    const restrictions = new ServerRestrictions(
+      undefined,
+      0,
+      LEAVING_USE_MILLISECONDS,
+    );
+    restrictions.recordLeaving(since);
+    return new ServerLoad(makeRegistration({ id, slots: 6 }), 0, restrictions);
+  }
+
+  function chosenOf(servers: readonly ServerLoad[]): string | undefined {
+    const result = place(servers, REQUEST, CONTEXT);
+    return result.kind === "placed"
+      ? result.placement.server.registration.id
+      : undefined;
+  }
+});
--- a/packages/kernel/src/server_restrictions.ts
+++ b/packages/kernel/src/server_restrictions.ts
@@ -4,6 +4,10 @@
  *
  * A limit counts for all entries together. Each entry sends at the rate of its
  * share of the limit; the share depends on the fleet and is given by a function.
+ *
+ * A server that leaves says so until it exits. It gets requests for a short
+ * time more, and only those that no other server has room for. Nothing takes
+ * the statement back: a restart of the server is another run.
  */
 
 /**
@@ -16,6 +20,8 @@
 export type ServerStatement = {
   /** `unreadable`: the answer says nothing that changes the limit. */
   readonly requestLimit: RequestLimit | "unreadable";
+  /** An answer that does not say so takes nothing back. */
+  readonly isLeaving: boolean;
 };
 
 /** Requests a second that this entry may send of a server's limit. */
@@ -37,14 +43,22 @@
   readonly #ownShare: OwnShare;
   /** Uniformly distributed in [0, 1): entries do not try again at once. */
   readonly #spread: number;
+  /** How long a server gets requests after it has said that it leaves. */
+  readonly #leavingUseMilliseconds: number;
   #requestLimit: RequestLimit = "none";
   #limitSaidAtMilliseconds = -Infinity;
   #tokens = 0;
   #tokensAtMilliseconds = -Infinity;
+  #leavingSinceMilliseconds = Infinity;
 
-  constructor(ownShare: OwnShare = (limit) => limit, spread = 0) {
+  constructor(
+    ownShare: OwnShare = (limit) => limit,
+    spread = 0,
+    leavingUseMilliseconds = 0,
+  ) {
     this.#ownShare = ownShare;
     this.#spread = spread;
+    this.#leavingUseMilliseconds = leavingUseMilliseconds;
   }
 
   get requestLimit(): RequestLimit {
@@ -56,12 +70,32 @@
     return this.#limitSaidAtMilliseconds;
   }
 
+  /** Whether the server has said that it leaves. */
+  get isLeaving(): boolean {
+    return this.#leavingSinceMilliseconds !== Infinity;
+  }
+
+  /** When the server first said that it leaves; `Infinity` if it did not. */
+  get leavingSinceMilliseconds(): number {
+    return this.#leavingSinceMilliseconds;
+  }
+
+  /** Records that the server said at a time that it leaves; returns if new. */
+  recordLeaving(atMilliseconds: number): boolean {
+    const isNew = !this.isLeaving;
+    this.#leavingSinceMilliseconds = Math.min(
+      this.#leavingSinceMilliseconds,
+      atMilliseconds,
+    );
+    return isNew;
+  }
+
   /**
-   * Records a statement made at a time; returns whether the limit changes
-   * notably. Older statements than the last one are ignored.
+   * Records a limit said at a time; returns whether it changes notably. Older
+   * statements than the last one are ignored.
    */
   recordStatement(
-    { requestLimit }: ServerStatement,
+    { requestLimit }: Pick<ServerStatement, "requestLimit">,
     atMilliseconds: number,
   ): boolean {
     if (requestLimit === "unreadable") return false;
@@ -78,9 +112,11 @@
 
   /**
    * Milliseconds until this entry may send the server a request: 0 if it may
-   * now, `Infinity` if it holds no share of the limit.
+   * now, `Infinity` if it holds no share of the limit or the server leaves.
    */
   millisecondsUntilAllowed(now: number): number {
+    const leavingMilliseconds = now - this.#leavingSinceMilliseconds;
+    if (leavingMilliseconds >= this.#leavingUseMilliseconds) return Infinity;
     if (this.#requestLimit === "none") return 0;
     const rate = this.#refill(this.#requestLimit, now);
     if (this.#tokens >= 1) return 0;
--- a/packages/kernel/src/server_restrictions_test.ts
+++ b/packages/kernel/src/server_restrictions_test.ts
@@ -165,3 +165,44 @@
     );
   });
 });
+
+describe("a server that leaves", () => {
+  const USE_MILLISECONDS = 1_000;
+
+  it("may get requests for a time from its first statement, and none after it", () => {
+    const statement = fc.record({
+      at: fc.integer({ min: 0, max: 20_000 }),
+      says: fc.constantFrom("leaving", "nothing", "limit"),
+    });
+    fc.assert(
+      fc.property(fc.array(statement), (statements) => {
+        const restrictions = new ServerRestrictions(
+          (limit) => limit,
+          0,
+          USE_MILLISECONDS,
+        );
+        let leavingSince = Infinity;
+        for (const { at, says } of statements) {
+          if (says === "leaving") {
+            leavingSince = Math.min(leavingSince, at);
+            restrictions.recordLeaving(at);
+          } else {
+            const requestLimit = says === "limit" ? 100 : "none";
+            restrictions.recordStatement({ requestLimit }, at);
+          }
+        }
+        const end = leavingSince + USE_MILLISECONDS;
+        expect(restrictions.isLeaving).toBe(leavingSince !== Infinity);
+        if (leavingSince === Infinity) return;
+        for (const now of [end, end + 1, end + 1_000_000]) {
+          expect(restrictions.millisecondsUntilAllowed(now)).toBe(Infinity);
+          expect(restrictions.trySpend(now)).toBe(false);
+        }
+        if (restrictions.requestLimit === "none") {
+          expect(restrictions.trySpend(end - 1)).toBe(true);
+        }
+      }),
+      { seed: 38 },
+    );
+  });
+});
