A server that refuses with Retry-After gets nothing for that time

What callers saw: requests went to a server that had just asked for a pause, were refused there and cost a retry each.

Cause: the same as of the statement that a server leaves: nothing read it.

Change: the pause is decoded with the other statements and held beside them in ServerRestrictions, for this entry alone and for a minute at most. Placement, sending and probes ask it; entries return spread over a quarter of a second. An answer that a peer passed on asks nothing of the entry that it was passed on to.

--- a/packages/gateway/src/caller_protocol.ts
+++ b/packages/gateway/src/caller_protocol.ts
@@ -10,7 +10,7 @@
 import { PlugInRegistry } from "@marigoldford/kernel/plug_ins";
 import type { ServerReport } from "@marigoldford/kernel/server_load";
 import type { ServerStatement } from "@marigoldford/kernel/server_restrictions";
-import type { AnswerHeaders } from "./answer_head.ts";
+import type { AnswerHead, AnswerHeaders } from "./answer_head.ts";
 
 /** Header names in lower case. */
 export type ProtocolHeaders = {
@@ -36,7 +36,7 @@
   readonly malformed: readonly string[];
 };
 
-export type StatementReader = (headers: AnswerHeaders) => StatementReading;
+export type StatementReader = (answer: AnswerHead) => StatementReading;
 
 export type CallerProtocol = {
   readonly headers: ProtocolHeaders;
@@ -47,7 +47,7 @@
 };
 
 const SAYS_NOTHING: StatementReading = {
-  statement: { requestLimit: "none", isLeaving: false },
+  statement: { requestLimit: "none", isLeaving: false, pauseMilliseconds: 0 },
   malformed: [],
 };
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -50,6 +50,8 @@
     /** Time since the server said it first. */
     ageMilliseconds: number;
   }
+  /** The server wants no request of this entry for this time. */
+  | { event: "server-pause"; server: string; milliseconds: number }
   | { event: "server-statement-refused"; server: string; detail: string }
   | { event: "entry-changed"; entry: string; change: string; state: string }
   | {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -288,8 +288,8 @@
       areReportsExchanged: () => this.#loadExchange.isActive,
       healthPathOf: (service) => this.#router.service(service)?.healthPath,
       onReport: (server) => this.#loadExchange.queueReport(server),
-      onHealthCheck: ({ registration }, headers) =>
-        this.#statements.recordAnswer(registration, headers, "health-check"),
+      onHealthCheck: ({ registration }, head) =>
+        this.#statements.recordAnswer(registration, head, "health-check"),
       onProbe: () => this.#metrics.incrementCounter("probes"),
     });
     this.#placer = new Placer({
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -190,8 +190,11 @@
   }
 
   #checkServers(service: ServiceName): void {
-    const { servers, prober, reach } = this.#options;
-    const all = servers.ofService(service);
+    const { servers, prober, reach, clock } = this.#options;
+    const now = clock();
+    const all = servers.ofService(service).filter(({ restrictions }) =>
+      !restrictions.isPaused(now)
+    );
     const count = Math.min(CHECKED_SERVERS, all.length);
     for (let index = 0; index < count; index++) {
       const server = all[this.#turn++ % all.length];
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -19,7 +19,7 @@
   FailureDomain,
   ServiceName,
 } from "@marigoldford/kernel/types";
-import type { AnswerHead, AnswerHeaders } from "./answer_head.ts";
+import type { AnswerHead } from "./answer_head.ts";
 import { type CallerProtocol, singleHeader } from "./caller_protocol.ts";
 import { ProbeConnection } from "./probe_connection.ts";
 import type { ServerTable } from "./server_table.ts";
@@ -33,7 +33,10 @@
   readonly maximumWaitMilliseconds: number;
 };
 
-/** `unasked`: the budget is exhausted, or the service is no longer known. */
+/**
+ * `unasked`: the budget is exhausted, the server has asked for a pause, or the
+ * service is no longer known.
+ */
 export type ProbeResult = "answered" | "failed" | "silent" | "unasked";
 
 export type ProberOptions = {
@@ -49,8 +52,8 @@
   readonly areReportsExchanged: () => boolean;
   readonly healthPathOf: (service: ServiceName) => string | undefined;
   readonly onReport: (server: ServerLoad) => void;
-  /** Is told the headers of a health check that the server itself answered. */
-  readonly onHealthCheck: (server: ServerLoad, headers: AnswerHeaders) => void;
+  /** Is told the head of a health check that the server itself answered. */
+  readonly onHealthCheck: (server: ServerLoad, head: AnswerHead) => void;
   readonly onProbe: () => void;
   readonly reach: ServerReach;
 };
@@ -125,10 +128,11 @@
     const { id, service } = server.registration;
     const pending = this.#pending.get(id);
     if (pending !== undefined) return pending;
-    const path = this.#options.healthPathOf(service);
-    if (path === undefined || !this.#options.budget.trySpend()) {
-      return Promise.resolve("unasked");
-    }
+    const { clock, budget, healthPathOf } = this.#options;
+    const path = healthPathOf(service);
+    const mayProbe = path !== undefined &&
+      !server.restrictions.isPaused(clock()) && budget.trySpend();
+    if (!mayProbe) return Promise.resolve("unasked");
     this.#options.onProbe();
     const probe = this.#sendProbe(server, path).finally(() =>
       this.#pending.delete(id)
@@ -233,12 +237,13 @@
     return outcome;
   }
 
-  #onAnswer(server: ServerLoad, { status, headers }: AnswerHead): void {
+  #onAnswer(server: ServerLoad, head: AnswerHead): void {
+    const { status, headers } = head;
     const { protocol, clock, onReport, onHealthCheck } = this.#options;
     const { id } = server.registration;
     if (singleHeader(headers, protocol.headers.serverId) !== id) return;
     server.recordReportedHealth(status === HEALTHY_STATUS);
-    onHealthCheck(server, headers);
+    onHealthCheck(server, head);
     const report = protocol.readLoad(headers);
     if (report === undefined) return server.recordMissingReport();
     if (server.recordReport(report, clock())) onReport(server);
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -405,12 +405,14 @@
           if (!isForward) this.#context.reach.recordConnection(this.#service);
         },
         onAnswerHead: (attempt, answer) => this.#onAnswerHead(attempt, answer),
-        onStatement: (_, { headers }, carrier) => {
+        onStatement: (_, { headers, statusCode: status = 0 }, kind) => {
+          const { statements } = this.#context;
           const run = isForward
             ? readAnsweringServer(headers)
             : server.registration;
+          const carrier = isForward ? "answer-to-peer" : kind;
           if (run === undefined) return;
-          this.#context.statements.recordAnswer(run, headers, carrier);
+          statements.recordAnswer(run, { status, headers }, carrier);
         },
         onBufferedAnswer: (attempt, answer) =>
           this.#onBufferedAnswer(attempt, answer),
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -207,10 +207,11 @@
 });
 
 const LEAVING_HEADER = "x-leaving";
-const readLeaving: StatementReader = (headers) => ({
+const readLeaving: StatementReader = ({ headers }) => ({
   statement: {
     requestLimit: "none",
     isLeaving: headers[LEAVING_HEADER] !== undefined,
+    pauseMilliseconds: 0,
   },
   malformed: [],
 });
--- a/packages/gateway/src/server_statements.ts
+++ b/packages/gateway/src/server_statements.ts
@@ -15,7 +15,7 @@
   ServerRestrictions,
 } from "@marigoldford/kernel/server_restrictions";
 import type { Clock, RandomSource } from "@marigoldford/kernel/types";
-import type { AnswerHeaders } from "./answer_head.ts";
+import type { AnswerHead } from "./answer_head.ts";
 import type { CallerProtocol } from "./caller_protocol.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
@@ -50,10 +50,14 @@
 export type ServerRun = Pick<ServerRegistration, "id" | "bornAtMilliseconds">;
 
 /**
- * Answers to requests are complete or refuse the request; a health check says
- * only whether its server leaves.
+ * Answers to requests are complete or refuse the request. A health check says
+ * nothing of a limit, and an answer to a peer asks no pause of this entry.
  */
-export type StatementCarrier = "answer" | "refusal" | "health-check";
+export type StatementCarrier =
+  | "answer"
+  | "refusal"
+  | "health-check"
+  | "answer-to-peer";
 
 type StatementsDatagram = Extract<FleetDatagram, { kind: "statements" }>;
 type LimitRank = ReturnType<typeof limitRank>;
@@ -131,17 +135,17 @@
   }
 
   /**
-   * Records what the headers of an answer say of the run of a server that sent
+   * Records what the head of an answer says of the run of a server that sent
    * it. A refusal, which may come from a stage before the server's own, ends no
    * limit.
    */
   recordAnswer(
     run: ServerRun,
-    headers: AnswerHeaders,
+    head: AnswerHead,
     carrier: StatementCarrier,
   ): void {
     const { protocol, clock, metrics, writeEvent } = this.#options;
-    const { statement, malformed } = protocol.readStatement(headers);
+    const { statement, malformed } = protocol.readStatement(head);
     for (const detail of malformed) {
       metrics.incrementCounter("server_statements_refused");
       writeEvent({
@@ -150,17 +154,20 @@
         detail,
       });
     }
-    const saysLimit = carrier === "answer" ||
-      carrier === "refusal" && statement.requestLimit !== "none";
-    if (!saysLimit && !statement.isLeaving) return;
+    const { requestLimit, isLeaving, pauseMilliseconds } = statement;
+    const saysLimit = carrier === "answer" || carrier === "answer-to-peer" ||
+      carrier === "refusal" && requestLimit !== "none";
+    const asksPause = pauseMilliseconds > 0 && carrier !== "answer-to-peer";
+    if (!saysLimit && !isLeaving && !asksPause) return;
     const now = clock();
     const known = this.#find(run);
+    if (asksPause) this.#recordPause(known, pauseMilliseconds);
     let isChange = false;
     if (saysLimit && known.restrictions.recordStatement(statement, now)) {
       this.#onLimitChange(known, "server");
       isChange = true;
     }
-    if (statement.isLeaving && known.restrictions.recordLeaving(now)) {
+    if (isLeaving && known.restrictions.recordLeaving(now)) {
       const from = carrier === "health-check" ? carrier : "answer";
       this.#onLeaving(known, from, 0);
       isChange = true;
@@ -168,6 +175,14 @@
     if (isChange || known.isRepeatDue(now)) this.#share(known);
   }
 
+  /** Entries are asked for pauses one by one, so peers are not told. */
+  #recordPause({ run, restrictions }: KnownRun, milliseconds: number): void {
+    const { clock, metrics, writeEvent } = this.#options;
+    if (!restrictions.recordPause(milliseconds, clock())) return;
+    metrics.incrementCounter("server_pauses");
+    writeEvent({ event: "server-pause", server: run.id, milliseconds });
+  }
+
   /** Records what a peer tells of servers. */
   receive(datagram: StatementsDatagram): void {
     const { clock, messageClock, socket, peers, failureDomain } = this.#options;
--- a/packages/gateway/src/server_statements_test.ts
+++ b/packages/gateway/src/server_statements_test.ts
@@ -11,6 +11,7 @@
 import { GatewayMetrics } from "./metrics.ts";
 import { ServerStatements } from "./server_statements.ts";
 
+const HEAD = { status: 200, headers: {} };
 const RUN = { id: "server", bornAtMilliseconds: 1 };
 
 type Options = ConstructorParameters<typeof ServerStatements>[0];
@@ -66,7 +67,7 @@
   const departed = peerClock.departure();
   now += 300;
   limit = 3;
-  statements.recordAnswer(RUN, {}, "answer");
+  statements.recordAnswer(RUN, HEAD, "answer");
   now += 300;
   statements.receive({
     kind: "statements",
@@ -104,12 +105,12 @@
     sent.flatMap((datagram) =>
       datagram.kind === "statements" ? datagram.leaving ?? [] : []
     );
-  statements.recordAnswer(RUN, {}, "health-check");
+  statements.recordAnswer(RUN, HEAD, "health-check");
   await vi.waitFor(() => expect(leaving()).toHaveLength(1));
   now += 100;
-  statements.recordAnswer(RUN, {}, "health-check");
+  statements.recordAnswer(RUN, HEAD, "health-check");
   now += 500;
-  statements.recordAnswer(RUN, {}, "health-check");
+  statements.recordAnswer(RUN, HEAD, "health-check");
   await vi.waitFor(() => expect(leaving()).toHaveLength(2));
   expect(leaving()[1]).toEqual({ ...RUN, ageMilliseconds: 600 });
   statements.stop();
--- a/packages/kernel/src/server_restrictions.ts
+++ b/packages/kernel/src/server_restrictions.ts
@@ -5,6 +5,9 @@
  * A limit counts for all entries together. Each entry sends at the rate of its
  * share of the limit; the share depends on the fleet and is given by a function.
  *
+ * A pause is what a server asks of one entry, which then sends it nothing, and
+ * no probes. The longest of several holds.
+ *
  * A server that leaves says so until it exits. It gets requests for a short
  * time more, and only those that no other server has room for. Nothing takes
  * the statement back: a restart of the server is another run.
@@ -22,6 +25,8 @@
   readonly requestLimit: RequestLimit | "unreadable";
   /** An answer that does not say so takes nothing back. */
   readonly isLeaving: boolean;
+  /** How long the server wants no request of this entry; 0 if it takes them. */
+  readonly pauseMilliseconds: number;
 };
 
 /** Requests a second that this entry may send of a server's limit. */
@@ -37,6 +42,10 @@
 const LIMIT_LIFETIME_REQUESTS = 4;
 /** Changes of a limit by a smaller share are not worth telling. */
 const NOTABLE_CHANGE = 0.2;
+/** No statement stops a server for longer. */
+const MAXIMUM_PAUSE_MILLISECONDS = 60_000;
+/** Entries return to a server within this time after the end of a pause. */
+const PAUSE_SPREAD_MILLISECONDS = 250;
 const MILLISECONDS_IN_SECOND = 1_000;
 
 export class ServerRestrictions {
@@ -50,6 +59,7 @@
   #tokens = 0;
   #tokensAtMilliseconds = -Infinity;
   #leavingSinceMilliseconds = Infinity;
+  #pausedUntilMilliseconds = -Infinity;
 
   constructor(
     ownShare: OwnShare = (limit) => limit,
@@ -90,6 +100,21 @@
     return isNew;
   }
 
+  /** Records a pause that starts now; returns whether it ends any later. */
+  recordPause(milliseconds: number, now: number): boolean {
+    if (milliseconds <= 0) return false;
+    const until = now + Math.min(milliseconds, MAXIMUM_PAUSE_MILLISECONDS) +
+      this.#spread * PAUSE_SPREAD_MILLISECONDS;
+    if (until <= this.#pausedUntilMilliseconds) return false;
+    this.#pausedUntilMilliseconds = until;
+    return true;
+  }
+
+  /** Whether the server takes neither requests nor probes of this entry. */
+  isPaused(now: number): boolean {
+    return now < this.#pausedUntilMilliseconds;
+  }
+
   /**
    * Records a limit said at a time; returns whether it changes notably. Older
    * statements than the last one are ignored.
@@ -117,6 +142,14 @@
   millisecondsUntilAllowed(now: number): number {
     const leavingMilliseconds = now - this.#leavingSinceMilliseconds;
     if (leavingMilliseconds >= this.#leavingUseMilliseconds) return Infinity;
+    return Math.max(
+      0,
+      this.#pausedUntilMilliseconds - now,
+      this.#millisecondsUntilToken(now),
+    );
+  }
+
+  #millisecondsUntilToken(now: number): number {
     if (this.#requestLimit === "none") return 0;
     const rate = this.#refill(this.#requestLimit, now);
     if (this.#tokens >= 1) return 0;
--- a/packages/kernel/src/server_restrictions_test.ts
+++ b/packages/kernel/src/server_restrictions_test.ts
@@ -206,3 +206,48 @@
     );
   });
 });
+
+describe("a server that asks for pauses", () => {
+  it("gets nothing until the end of the longest, and is soon used again", () => {
+    const pause = fc.record({
+      after: fc.integer({ min: 0, max: 3_000 }),
+      milliseconds: fc.integer({ min: 0, max: 100_000 }),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(pause),
+        fc.double({ min: 0, max: 0.99, noNaN: true }),
+        (pauses, spread) => {
+          const restrictions = new ServerRestrictions(
+            undefined,
+            spread,
+          );
+          let now = 0;
+          let until = -Infinity;
+          for (const { after, milliseconds } of pauses) {
+            now += after;
+            restrictions.recordPause(milliseconds, now);
+            if (milliseconds === 0) continue;
+            until = Math.max(until, now + Math.min(milliseconds, 60_000));
+          }
+          if (now < until) {
+            expect(restrictions.isPaused(until - 1)).toBe(true);
+            expect(restrictions.trySpend(until - 1)).toBe(false);
+          }
+          const isUsedAgain = restrictions.trySpend(Math.max(now, until) + 300);
+          expect(isUsedAgain).toBe(true);
+        },
+      ),
+      { seed: 38 },
+    );
+  });
+
+  it("still has its limit after a pause", () => {
+    const restrictions = new ServerRestrictions();
+    restrictions.recordStatement({ requestLimit: 1 }, 0);
+    restrictions.recordPause(2_000, 0);
+    expect(restrictions.millisecondsUntilAllowed(0)).toBe(2_000);
+    expect(restrictions.trySpend(2_000)).toBe(true);
+    expect(restrictions.trySpend(2_000)).toBe(false);
+  });
+});
