A connection counts as reach only once the server answers on it

What callers saw: at entries whose connections to all servers are reset as soon as they are made, requests were lost or refused all through the cut.

Cause: an entry took a connection that was opened for proof that it reaches the servers. Where something on the way accepts connections and resets them, each attempt made the entry forget that it is cut, so it stopped passing requests on to its peers until three more attempts had failed.

Change: reach is recorded with the head of an answer. A new connection that breaks before any answer counts as one that was not made.

--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -597,12 +597,14 @@
 
   /** Records what a failed attempt says of the way to the servers. */
   #recordReach(
-    { isForward, server }: ServerAttempt,
+    { isForward, server, hasUnusedConnection }: ServerAttempt,
     { kind }: AttemptEvidence,
   ): void {
     const hasNotRun = kind === "not-connected" || kind === "refused-by-peer";
     if (isForward) this.#isForwardSpent ||= !hasNotRun;
-    else if (kind === "not-connected") {
+    else if (
+      kind === "not-connected" || kind === "broken" && hasUnusedConnection
+    ) {
       this.#hasFailedToConnect = true;
       const { id } = server.registration;
       this.#context.reach.recordFailure(this.#service, id, "connection");
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -82,7 +82,7 @@
     attempt: ServerAttempt,
     answer: StreamedAnswer,
   ) => void;
-  /** A new connection was opened for the attempt. */
+  /** The server answered on a connection that was opened for the attempt. */
   readonly onConnection: (attempt: ServerAttempt) => void;
   /** The attempt ended without a complete answer. */
   readonly onFailure: (
@@ -157,6 +157,7 @@
   #resetCheck: Promise<void> | undefined;
   #connectTimer: ReturnType<typeof setTimeout> | undefined;
   #headAtMilliseconds: number | undefined;
+  #hasOpenedConnection = false;
   readonly placementInputs: PlacementInputs;
 
   constructor(options: AttemptOptions) {
@@ -192,6 +193,14 @@
     return this.#phase === "ended";
   }
 
+  /**
+   * Whether a connection was opened and nothing came on it. A middlebox may
+   * accept a connection and reset it, also if no server is behind it.
+   */
+  get hasUnusedConnection(): boolean {
+    return this.#hasOpenedConnection && this.#headAtMilliseconds === undefined;
+  }
+
   /** Whether bytes of the request may have been written to a connection. */
   get mayHaveSentBytes(): boolean {
     return this.#phase !== "connecting";
@@ -262,7 +271,7 @@
     if (!socket.connecting) return this.#onConnected();
     socket.setNoDelay(true);
     socket.once("connect", () => {
-      this.#options.hooks.onConnection(this);
+      this.#hasOpenedConnection = true;
       this.#onConnected();
     });
   }
@@ -327,6 +336,7 @@
     this.#answer = answer;
     this.#phase = "buffering";
     this.#headAtMilliseconds = this.#options.clock();
+    if (this.#hasOpenedConnection) this.#options.hooks.onConnection(this);
     const rejection = this.#rejectionOf(answer);
     if (rejection !== undefined) return this.#fail(rejection);
     this.#options.hooks.onAnswerHead(this, answer);
