A broken connection counts as a crash only if the server is down

What callers saw: at entries that are cut from all servers by resets, requests for a popular page were refused as quarantined, with Retry-After 30, through the cut and a minute after it, although peers reached the servers. Told to the fleet, the suspicion also counted at entries that were not cut.

Cause: the detector took a broken connection and a failed probe of the same server for a crash. Behind a cut every probe fails, so equal requests of different callers that were in progress at three servers were one request that had crashed three. Answers to the request did not clear it once it counted three.

Change, one judgement for both sides: - Whether a server is down is found out by an inquiry: the entry tries to reach it on a new connection, then asks up to five peers of as many failure domains as there are. One that reaches it proves that it lives; one that is cut itself says nothing; silence is no evidence. Without findings, the server is down if no load report of it has come meanwhile and other servers are reached. - Only crashes that are judged so are told, with the times of the attempt. What an entry of the build before tells is judged by the receiver. - Servers that fail together quarantine nothing by themselves: at least one attempt must have begun after the first crash. - An answer to a request clears it, at any count and while it is judged. - A judgement counts however late; a request that is one judgement away from quarantine waits for it, 100 ms at most.

Builds side by side: questions and findings are optional fields of the reach message, times an optional field of the crash message. The build before ignores them, counts what it is told, and does not answer; an inquiry waits 600 ms then.

Requests that crash servers one after the other are still stopped after three, by end_to_end_test and crash_detector_test.

Also moved: the check for jumps of the wall clock, out of gateway.ts.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -165,6 +165,17 @@
     server: string;
     from: string;
   }
+  /** An answer to the request has shown that it crashes no servers. */
+  | { event: "crash-suspicion-cleared"; fingerprint: string; crashes: number }
+  | {
+    /** Whether a server is down, after the connection of a request broke. */
+    event: "server-judged";
+    server: string;
+    isDown: boolean;
+    /** What the peers found that were asked. */
+    findings: string;
+    elapsedMilliseconds: number;
+  }
   | {
     event: "discovery-item-refused" | "discovery-item-assumed";
     key: string;
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -69,6 +69,12 @@
   readonly ageMilliseconds: number;
 };
 
+/** Whether an entry that was asked reaches a server. */
+export type SharedFinding = {
+  readonly server: string;
+  readonly isReached: boolean;
+};
+
 export type FleetDatagram =
   | {
     readonly kind: "members";
@@ -117,12 +123,25 @@
     readonly from: string;
     /** Services whose servers the sender does not reach. */
     readonly unreached: readonly ServiceName[];
+    /** Ids of servers that the receiver is asked to try to reach. */
+    readonly asks?: readonly string[];
+    /** The findings that the receiver has asked for. */
+    readonly findings?: readonly SharedFinding[];
   }
   | {
     readonly kind: "crash";
     readonly from: string;
     readonly fingerprint: string;
+    /** Address of the server. */
     readonly server: string;
+    /**
+     * Time since the attempt began and since its connection broke, if entries
+     * agree that the server is down. Earlier builds ask no others.
+     */
+    readonly judged?: {
+      readonly startAgeMilliseconds: number;
+      readonly breakAgeMilliseconds: number;
+    };
   };
 
 export type FleetFrame =
@@ -302,17 +321,33 @@
         isForDomain: message.isForDomain === true,
       }));
     case "reach":
-      return readUsable(
-        message.unreached,
-        "unreached",
-        (service) => readName(service, "service"),
-        onIgnored,
-      ).map((unreached) => ({ unreached }));
+      return Result.combine([
+        readNames(message.unreached, "unreached", onIgnored),
+        readOptional(
+          message,
+          "asks",
+          (value, path) => readNames(value, path, onIgnored),
+        ),
+        readOptional(
+          message,
+          "findings",
+          (value, path) => readUsable(value, path, readFinding, onIgnored),
+        ),
+      ]).map(([unreached, asks, findings]) => ({
+        unreached,
+        ...asks,
+        ...findings,
+      }));
     case "crash":
       return Result.combine([
         readName(message.fingerprint, "fingerprint"),
         readName(message.server, "server"),
-      ]).map(([fingerprint, server]) => ({ fingerprint, server }));
+        readOptional(message, "judged", readJudged),
+      ]).map(([fingerprint, server, judged]) => ({
+        fingerprint,
+        server,
+        ...judged,
+      }));
   }
 }
 
@@ -463,6 +498,31 @@
   );
 }
 
+function readNames(value: unknown, path: string, onIgnored: OnIgnored) {
+  return readUsable(value, path, (name) => readName(name, path), onIgnored);
+}
+
+function readFinding(value: unknown): Result<SharedFinding, ValueMalformed> {
+  return readObject(value, "finding").andThen((finding) =>
+    Result.combine([
+      readName(finding.server, "server"),
+      readBoolean(finding.isReached, "isReached"),
+    ]).map(([server, isReached]) => ({ server, isReached }))
+  );
+}
+
+function readJudged(value: unknown) {
+  return readObject(value, "judged").andThen((judged) =>
+    Result.combine([
+      readAge(judged.startAgeMilliseconds),
+      readAge(judged.breakAgeMilliseconds),
+    ]).map(([startAgeMilliseconds, breakAgeMilliseconds]) => ({
+      startAgeMilliseconds,
+      breakAgeMilliseconds,
+    }))
+  );
+}
+
 function readTag(value: unknown): Result<number, ValueMalformed> {
   return readInteger(value, "tag", { maximum: MAXIMUM_TAG });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,10 +44,12 @@
 import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
 import { ServerConnections } from "./server_connections.ts";
+import { ServerInquiry } from "./server_inquiry.ts";
 import { ServerStatements } from "./server_statements.ts";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
 import { TUNING } from "./tuning.ts";
+import { WallClock } from "./wall_clock.ts";
 import "./metrics_server.ts";
 
 export class GatewayStartFailure
@@ -177,15 +179,16 @@
   readonly #callServer: CallServer;
   /** Serves requests that peers pass on. */
   readonly #forwardServer: CallServer;
+  readonly #inquiry: ServerInquiry;
   readonly #crashDetector: CrashDetector;
   readonly #pauseDetector: PauseDetector;
+  readonly #wallClock = new WallClock();
   readonly #auxiliaryServers: AuxiliaryServer[];
   readonly #timers: ReturnType<typeof setInterval>[] = [];
   readonly #startedAt = performance.now();
   #leaveRequestedAt = Infinity;
   #housekeptAt = performance.now();
   #eventLoopDelay = 0;
-  #wallClockOffset = Date.now() - performance.now();
 
   constructor(options: GatewayOptions, dependencies: GatewayDependencies) {
     this.#options = options;
@@ -328,12 +331,25 @@
       bounds: options.bounds,
       memberCount: () => this.#fleet.members.budgetDivisor(),
     });
+    this.#inquiry = new ServerInquiry({
+      self: this.#incarnation,
+      failureDomain: instance.failureDomain,
+      clock,
+      random: Math.random,
+      servers: this.#servers,
+      prober: this.#prober,
+      peers: () => this.#fleet.members.livePeers(),
+      socket: this.#datagramSocket,
+      unreached: () => this.#forwarder.cutServices,
+      writeEvent: this.#writeEvent,
+    });
     this.#crashDetector = new CrashDetector({
       self: this.#incarnation,
       clock,
       settings: TUNING.crashes,
       socket: this.#datagramSocket,
-      prober: this.#prober,
+      isDown: (server) => this.#inquiry.isDown(server),
+      findServer: (address) => this.#servers.findByAddress(address),
       peers: () => this.#fleet.members.livePeers(),
       writeEvent: this.#writeEvent,
     });
@@ -599,6 +615,7 @@
         return;
       case "reach":
         this.#forwarder.receive(datagram);
+        this.#inquiry.receive(datagram, sender);
         return;
       case "crash":
         this.#crashDetector.recordPeerCrash(datagram);
@@ -624,7 +641,8 @@
     this.#housekeptAt = now;
     this.#discovery.settleProvisional();
     this.#servers.closeExpiredConnections();
-    if (!this.#pauseDetector.recordTick() && !this.#hasClockJumped()) return;
+    const hasJumped = this.#wallClock.takeJump() > PAUSE_THRESHOLD_MILLISECONDS;
+    if (!this.#pauseDetector.recordTick() && !hasJumped) return;
     this.#writeEvent({
       event: "pause-noticed",
       milliseconds: PAUSE_THRESHOLD_MILLISECONDS,
@@ -633,17 +651,6 @@
     this.#messageClock.renew();
   }
 
-  /**
-   * Whether the wall clock has shifted against the monotonic clock, which does
-   * not advance while the instance is suspended.
-   */
-  #hasClockJumped(): boolean {
-    const offset = Date.now() - performance.now();
-    const jump = Math.abs(offset - this.#wallClockOffset);
-    this.#wallClockOffset = offset;
-    return jump > PAUSE_THRESHOLD_MILLISECONDS;
-  }
-
   #logTraffic(): void {
     this.#writeEvent({
       event: "traffic",
@@ -658,7 +665,7 @@
     const { limited, leaving } = this.#servers.restrictedCounts;
     return this.#metrics.text({
       requests_in_progress: this.#inProgress,
-      unreached_services: this.#forwarder.cutServices,
+      unreached_services: this.#forwarder.cutServices.length,
       servers: this.#servers.size,
       limited_servers: limited,
       leaving_servers: leaving,
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -109,7 +109,21 @@
     isForDomain: true,
   },
   { kind: "reach", from: "abc", unreached: ["web"] },
+  {
+    kind: "reach",
+    from: "abc",
+    unreached: [],
+    asks: ["server-1"],
+    findings: [{ server: "server-2", isReached: false }],
+  },
   { kind: "crash", from: "abc", fingerprint: "f", server: "10.0.0.9:80" },
+  {
+    kind: "crash",
+    from: "abc",
+    fingerprint: "f",
+    server: "10.0.0.9:80",
+    judged: { startAgeMilliseconds: 20, breakAgeMilliseconds: 3.5 },
+  },
 ];
 const CHANGES = [
   { kind: "snapshot", snapshot: SNAPSHOT },
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -95,8 +95,9 @@
   }
 
   /** Services that this entry does not reach at all. */
-  get cutServices(): number {
-    return this.#cut().length;
+  get cutServices(): readonly ServiceName[] {
+    return [...this.#unreached].filter(([, reach]) => reach === "cut")
+      .map(([service]) => service);
   }
 
   reachOf(service: ServiceName): Reach {
@@ -146,11 +147,6 @@
     else this.#told.set(from, { services: new Set(unreached), atMilliseconds });
   }
 
-  #cut(): ServiceName[] {
-    return [...this.#unreached].filter(([, reach]) => reach === "cut")
-      .map(([service]) => service);
-  }
-
   #find(record: MemberRecord, service: ServiceName): KnownPeer {
     const known = this.#known.get(record.incarnation);
     if (known !== undefined) return known;
@@ -186,21 +182,21 @@
     this.#forgetPeers();
     const elapsed = this.#options.clock() - this.#toldAtMilliseconds;
     const isDue = elapsed >= TELL_INTERVAL_MILLISECONDS;
-    if (isDue && this.cutServices > 0) this.#tell();
+    if (isDue && this.cutServices.length > 0) this.#tell();
   }
 
   #checkServers(service: ServiceName): void {
-    const { servers, prober, reach, clock } = this.#options;
-    const now = clock();
-    const all = servers.ofService(service).filter(({ restrictions }) =>
-      !restrictions.isPaused(now)
-    );
+    const { servers, prober, reach } = this.#options;
+    const all = servers.ofService(service);
     const count = Math.min(CHECKED_SERVERS, all.length);
     for (let index = 0; index < count; index++) {
       const server = all[this.#turn++ % all.length];
       const { id } = server.registration;
-      void prober.check(server).then((isReached) => {
-        if (!isReached) return reach.recordFailure(service, id, "connection");
+      void prober.check(server).then((result) => {
+        if (result === "unasked") return;
+        if (result !== "answered") {
+          return reach.recordFailure(service, id, "connection");
+        }
         reach.recordConnection(service);
         if (this.#unreached.has(service)) this.#recordReach(service, "reached");
       });
@@ -229,7 +225,7 @@
     this.#toldAtMilliseconds = clock();
     socket.send(
       peers().map(({ datagramAddress }) => datagramAddress),
-      { kind: "reach", from: self, unreached: this.#cut() },
+      { kind: "reach", from: self, unreached: this.cutServices },
     );
   }
 
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -141,21 +141,34 @@
     return probe;
   }
 
-  /** Whether a server answers a probe on a new connection. */
-  async check(server: ServerLoad): Promise<boolean> {
+  /** Probes a server on a new connection, without regard to the budget. */
+  async check(server: ServerLoad): Promise<ProbeResult> {
     const { address, service } = server.registration;
-    const path = this.#options.healthPathOf(service);
-    if (path === undefined) return false;
-    this.#options.onProbe();
-    const connection = new ProbeConnection(address, this.#options.clock);
-    const timer = setTimeout(
-      () => connection.close(),
-      this.#options.settings.timeoutMilliseconds,
-    );
+    const { healthPathOf, clock, onProbe } = this.#options;
+    const path = healthPathOf(service);
+    if (path === undefined || server.restrictions.isPaused(clock())) {
+      return "unasked";
+    }
+    onProbe();
+    const connection = new ProbeConnection(address, clock);
+    const result = await this.#getInTime(connection, path);
+    connection.close();
+    return typeof result === "string" ? result : "answered";
+  }
+
+  /** The answer to a probe, or why there is none. */
+  async #getInTime(
+    connection: ProbeConnection,
+    path: string,
+  ): Promise<AnswerHead | "failed" | "silent"> {
+    let isSilent = false;
+    const timer = setTimeout(() => {
+      isSilent = true;
+      connection.close();
+    }, this.#options.settings.timeoutMilliseconds);
     const answer = await connection.get(path);
     clearTimeout(timer);
-    connection.close();
-    return answer !== undefined;
+    return answer ?? (isSilent ? "silent" : "failed");
   }
 
   #tick(): void {
@@ -216,25 +229,17 @@
   }
 
   async #sendProbe(server: ServerLoad, path: string): Promise<ProbeResult> {
-    const connection = this.#connectionTo(server);
-    let isSilent = false;
-    const timer = setTimeout(() => {
-      isSilent = true;
-      connection.close();
-    }, this.#options.settings.timeoutMilliseconds);
-    const answer = await connection.get(path);
-    clearTimeout(timer);
-    const { reach } = this.#options;
+    const result = await this.#getInTime(this.#connectionTo(server), path);
+    const { reach, clock } = this.#options;
     const { id, service } = server.registration;
-    if (answer !== undefined) {
+    if (typeof result !== "string") {
       reach.recordAnswer(service);
-      this.#onAnswer(server, answer);
+      this.#onAnswer(server, result);
       return "answered";
     }
     reach.recordFailure(service, id, "silence");
-    const outcome = isSilent ? "silent" : "failed";
-    server.recordOutcome(outcome, this.#options.clock());
-    return outcome;
+    server.recordOutcome(result, clock());
+    return result;
   }
 
   #onAnswer(server: ServerLoad, head: AnswerHead): void {
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -201,6 +201,14 @@
   }
 
   #onBody(): void {
+    const { crashDetector } = this.#context;
+    const judged = crashDetector.whenJudged(() => this.#fingerprint());
+    if (judged === undefined) this.#onJudged();
+    else void judged.then(() => this.#onJudged());
+  }
+
+  #onJudged(): void {
+    if (this.#hasEnded) return;
     if (this.#context.crashDetector.isQuarantined(() => this.#fingerprint())) {
       return this.#refuse({
         status: 503,
@@ -611,10 +619,10 @@
     }
   }
 
-  #checkForCrash({ server }: ServerAttempt): Promise<void> {
+  #checkForCrash(attempt: ServerAttempt): Promise<void> {
     return this.#context.crashDetector.checkForCrash(
       () => this.#fingerprint(),
-      server,
+      attempt,
     );
   }
 
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -8,7 +8,7 @@
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
 import { ServerLoad } from "@marigoldford/kernel/server_load";
 import type { ServerRestrictions } from "@marigoldford/kernel/server_restrictions";
-import type { ServiceName } from "@marigoldford/kernel/types";
+import type { Address, ServiceName } from "@marigoldford/kernel/types";
 import { ServerConnections } from "./server_connections.ts";
 import { shortTag } from "./short_tag.ts";
 
@@ -67,6 +67,13 @@
     return this.#servers.get(id);
   }
 
+  findByAddress(address: Address): ServerLoad | undefined {
+    for (const { load } of this.#servers.values()) {
+      if (load.registration.address === address) return load;
+    }
+    return undefined;
+  }
+
   findByTag(tag: number): UsableServer | undefined {
     return this.#byTag.get(tag);
   }
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -60,6 +60,10 @@
     retentionMilliseconds: 60_000,
     /** Limits the memory for suspects to about a megabyte. */
     maximumSuspects: 10_000,
+    /** Several round trips between failure domains, as for a probe. */
+    maximumWaitMilliseconds: 12,
+    /** A peer of a busy fleet has answered by then. */
+    maximumSuspectWaitMilliseconds: 100,
   },
   /** Log lines per event and second; see docs/OPERATIONS.md. */
   linesPerSecond: 20,
--- a/packages/kernel/src/quarantine.ts
+++ b/packages/kernel/src/quarantine.ts
@@ -4,8 +4,10 @@
  * A connection that breaks before its answer raises a crash suspicion against
  * the requests in flight on that backend server. A request that was in flight
  * at the crashes of `crashesToQuarantine` different backend servers is
- * quarantined. A harmless request is quarantined only if it happened to be in
- * flight at all of these crashes.
+ * quarantined, unless all of them ran it before the first one crashed: servers
+ * that fail together have a cause of their own. A harmless request is
+ * quarantined only if it happened to be in flight at all of these crashes, and
+ * cleared by any answer to it.
  */
 import type { Address, Clock } from "./types.ts";
 
@@ -20,10 +22,16 @@
 export type CrashSuspicion = {
   readonly fingerprint: string;
   readonly address: Address;
+  /** When the attempt at the server began; if missing, after other crashes. */
+  readonly startedAtMilliseconds?: number;
+  /** When its connection broke; now, if missing. */
+  readonly brokenAtMilliseconds?: number;
 };
 
 type Suspect = {
   readonly addresses: Set<Address>;
+  firstBrokenAtMilliseconds: number;
+  lastStartedAtMilliseconds: number;
   expiresAtMilliseconds: number;
 };
 
@@ -43,21 +51,31 @@
   record(suspicion: CrashSuspicion): boolean {
     const suspect = this.#suspectOf(suspicion.fingerprint);
     if (suspect.addresses.has(suspicion.address)) return false;
+    const now = this.#options.clock();
     suspect.addresses.add(suspicion.address);
-    suspect.expiresAtMilliseconds = this.#options.clock() +
-      this.#options.retentionMilliseconds;
+    suspect.firstBrokenAtMilliseconds = Math.min(
+      suspect.firstBrokenAtMilliseconds,
+      suspicion.brokenAtMilliseconds ?? now,
+    );
+    suspect.lastStartedAtMilliseconds = Math.max(
+      suspect.lastStartedAtMilliseconds,
+      suspicion.startedAtMilliseconds ?? Infinity,
+    );
+    suspect.expiresAtMilliseconds = now + this.#options.retentionMilliseconds;
     return true;
   }
 
+  /** Number of servers that the request is suspected of having crashed. */
+  crashesOf(fingerprint: string): number {
+    return this.#suspects.get(fingerprint)?.addresses.size ?? 0;
+  }
+
   /**
    * Clears a request that was answered completely, because it did not crash its
-   * backend server. A quarantined request is not cleared.
+   * backend server. Returns whether it was suspected.
    */
-  clearSuspicion(fingerprint: string): void {
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined) return;
-    if (suspect.addresses.size >= this.#options.crashesToQuarantine) return;
-    this.#suspects.delete(fingerprint);
+  clearSuspicion(fingerprint: string): boolean {
+    return this.#suspects.delete(fingerprint);
   }
 
   /** Whether the request was in flight at a crash and has not been cleared. */
@@ -72,7 +90,8 @@
       this.#suspects.delete(fingerprint);
       return false;
     }
-    return suspect.addresses.size >= this.#options.crashesToQuarantine;
+    return suspect.addresses.size >= this.#options.crashesToQuarantine &&
+      suspect.lastStartedAtMilliseconds > suspect.firstBrokenAtMilliseconds;
   }
 
   #suspectOf(fingerprint: string): Suspect {
@@ -81,6 +100,8 @@
     this.#evictOldest();
     const suspect: Suspect = {
       addresses: new Set(),
+      firstBrokenAtMilliseconds: Infinity,
+      lastStartedAtMilliseconds: -Infinity,
       expiresAtMilliseconds: 0,
     };
     this.#suspects.set(fingerprint, suspect);
