The entry alone delimits the body of a request that it sends on

With Request-Id listed, requests ended with 502.

Cause: headers that delimit a body were copied from the caller, less those that its Connection header lists; for streamed bodies none was then left.

Change: one module decides the delimiter from the body that was read and copies none; Host and the id of a request are kept also if they are listed.

--- a/packages/gateway/src/raw_headers.ts
+++ b/packages/gateway/src/raw_headers.ts
@@ -20,17 +20,22 @@
   "expect",
 ]);
 
-/** Copies a list without connection headers and those in `excluded`. */
+/**
+ * Copies a list without connection headers and those in `excluded`. Headers in
+ * `kept` are for all recipients, also if the Connection header lists them.
+ */
 export function copyEndToEndHeaders(
   raw: readonly string[],
   excluded: ReadonlySet<string>,
+  kept: ReadonlySet<string> = new Set(),
 ): string[] {
   const connectionOptions = connectionOptionsOf(raw);
   const copied: string[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
     const name = raw[index].toLowerCase();
     if (CONNECTION_HEADERS.has(name)) continue;
-    if (excluded.has(name) || connectionOptions.has(name)) continue;
+    const isOption = connectionOptions.has(name) && !kept.has(name);
+    if (excluded.has(name) || isOption) continue;
     copied.push(raw[index], raw[index + 1]);
   }
   return copied;
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -44,6 +44,7 @@
 import { HedgeTimer } from "./hedge_timer.ts";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
 import { readBody, type RequestBody } from "./request_body.ts";
+import { FRAMING_HEADERS, framingHeaders } from "./request_framing.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import {
   type BufferedAnswer,
@@ -452,10 +453,13 @@
       headers.deadline,
       headers.expectedServer,
       ATTEMPTS_LEFT_HEADER,
+      ...FRAMING_HEADERS,
     ]);
-    const body = this.#body;
-    if (body.kind === "buffered") replaced.add("content-length");
-    const forwarded = copyEndToEndHeaders(this.#request.rawHeaders, replaced);
+    const forwarded = copyEndToEndHeaders(
+      this.#request.rawHeaders,
+      replaced,
+      new Set(["host", headers.requestId]),
+    );
     const forwardedMilliseconds = Math.max(
       1,
       Math.floor(this.#remainingMilliseconds - RETURN_TRIP_MILLISECONDS),
@@ -465,15 +469,7 @@
       const left = this.#limits.maximumAttempts - this.#history.serversReached;
       forwarded.push(ATTEMPTS_LEFT_HEADER, String(Math.max(1, left)));
     } else forwarded.push(headers.expectedServer, serverId);
-    const hasDeclaredLength =
-      this.#request.headers["content-length"] !== undefined;
-    if (body.kind === "buffered") {
-      if (body.bytes.byteLength > 0 || hasDeclaredLength) {
-        forwarded.push("content-length", String(body.bytes.byteLength));
-      }
-    } else if (!hasDeclaredLength) {
-      forwarded.push("transfer-encoding", "chunked");
-    }
+    forwarded.push(...framingHeaders(this.#body, this.#request.headers));
     return forwarded;
   }
 
