--- /dev/null
+++ b/packages/gateway/src/prober_test.ts
@@ -0,0 +1,67 @@
+/**
+ * Tests when a backend server is not probed.
+ */
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { expect, it } from "vitest";
+import { RateBudget } from "@marigoldford/kernel/rate_budget";
+import { ServerReach } from "@marigoldford/kernel/server_reach";
+import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
+import { ServerLoad } from "@marigoldford/kernel/server_load";
+import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
+import { Prober } from "./prober.ts";
+import type { ServerTable } from "./server_table.ts";
+
+// Guards against: health checks reach a server that has asked for a pause.
+it("a server that has asked for a pause is not probed until its end", async () => {
+  let probes = 0;
+  const server = createServer((_, response) => {
+    probes += 1;
+    response.writeHead(200, { "content-length": "0" }).end();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  let now = 1_000;
+  const clock = () => now;
+  const prober = new Prober({
+    self: "entry",
+    failureDomain: "a",
+    clock,
+    settings: {
+      maximumReportAgeMilliseconds: 400,
+      timeoutMilliseconds: 400,
+      maximumWaitMilliseconds: 400,
+    },
+    budget: new RateBudget(clock, () => 1_000),
+    protocol: CALLER_PROTOCOLS.find("marigoldford")._unsafeUnwrap(),
+    servers: {} as ServerTable,
+    members: () => [],
+    areReportsExchanged: () => false,
+    healthPathOf: () => "/health",
+    onReport: () => {},
+    onHealthCheck: () => {},
+    onProbe: () => {},
+    reach: new ServerReach(clock),
+  });
+  const load = new ServerLoad({
+    id: "server",
+    service: "web",
+    address: `127.0.0.1:${port}`,
+    warmUpLeftMilliseconds: 0,
+  } as ServerRegistration, now);
+  now += 1_000;
+  expect(await prober.probe(load)).toBe("answered");
+  load.restrictions.recordPause(1_500, now);
+  now += 1_499;
+  expect(await prober.probe(load)).toBe("unasked");
+  expect(await prober.check(load)).toBe("unasked");
+  expect(probes).toBe(1);
+  now += 1;
+  expect(await prober.probe(load)).toBe("answered");
+  expect(await prober.check(load)).toBe("answered");
+  expect(probes).toBe(3);
+  prober.stop();
+  server.close();
+});
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -297,3 +297,28 @@
   expect(copyEndToEndHeaders(rawHeaders, new Set()).join(" "))
     .not.toContain("answering-server");
 });
+
+// Guards against: an entry that is cut takes a connection that something on the
+// way accepts and resets for a server that it reaches.
+it("a connection that is accepted and reset says that its server is not reached", async () => {
+  const resetting = createTcpServer((socket) =>
+    socket.once("data", () => socket.resetAndDestroy())
+  );
+  const context = makeContext(await listen(resetting));
+  for (const server of ["server-2", "server-3"]) {
+    context.reach.recordFailure("desk", server, "connection");
+  }
+  const answer = await call(await startExchanges(context));
+  expect(answer.statusCode).toBe(502);
+  expect(context.reach.of("desk", 3)).toBe("cut");
+});
+
+it("an answer on a new connection says that its server is reached", async () => {
+  const context = makeContext(await startLeavingServer());
+  for (const server of ["server-2", "server-3", "server-4"]) {
+    context.reach.recordFailure("desk", server, "connection");
+  }
+  const answer = await call(await startExchanges(context));
+  expect(answer.statusCode).toBe(200);
+  expect(context.reach.of("desk", 4)).toBe("reached");
+});
