--- a/packages/gateway/src/answering_server.ts
+++ b/packages/gateway/src/answering_server.ts
@@ -9,7 +9,7 @@
 import type { ServerRun } from "./server_statements.ts";
 
 const HEADER = "marigoldford-answering-server";
-/** Birth and id; an id may contain spaces. */
+/** Birth of the run in Unix milliseconds, and the encoded id of the server. */
 const RUN = /^(\d{1,15}) (.+)$/;
 
 /** The raw headers that are added to the answer of a server. */
