--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,7 @@
 import { PeerForwarder } from "./peer_forwarder.ts";
 import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
+import { makeRouteExplainer } from "./route_explanation.ts";
 import { ServerConnections } from "./server_connections.ts";
 import { ServerInquiry } from "./server_inquiry.ts";
 import { ServerStatements } from "./server_statements.ts";
@@ -356,7 +357,7 @@
     const context = this.#exchangeContext(dependencies.protocol);
     this.#callServer = new CallServer(context);
     this.#forwardServer = new CallServer({ ...context, origin: "peer" });
-    this.#auxiliaryServers = this.#makeAuxiliaryServers();
+    this.#auxiliaryServers = this.#makeAuxiliaryServers(context);
   }
 
   async start(): Promise<void> {
@@ -421,11 +422,7 @@
     ]);
     const requestsCut = cut[0] + cut[1];
     this.#fleet.enterState("stopped");
-    this.#writeEvent({
-      event: "stop",
-      requestsCut,
-      reason: "asked to stop",
-    });
+    this.#writeEvent({ event: "stop", requestsCut, reason: "asked to stop" });
     await sleep(LEAVE_CHECK_INTERVAL_MILLISECONDS);
   }
 
@@ -494,12 +491,13 @@
     );
   }
 
-  #makeAuxiliaryServers(): AuxiliaryServer[] {
+  #makeAuxiliaryServers(context: ExchangeContext): AuxiliaryServer[] {
     const view = {
       isReady: () => this.#fleet.state === "serving",
       entryAddressesFor: (failureDomain: string | undefined): Address[] =>
         entriesForCaller(this.#fleet.members.liveMembers(), failureDomain),
       metricsText: () => this.#metricsText(),
+      explainRoute: makeRouteExplainer(context, this.#discovery, this.#options),
     };
     return AUXILIARY_SERVERS.names().map((name) =>
       AUXILIARY_SERVERS.find(name)._unsafeUnwrap()(view, this.#options)
--- a/packages/gateway/src/metrics_server.ts
+++ b/packages/gateway/src/metrics_server.ts
@@ -1,18 +1,25 @@
 /**
- * Serves the metrics page.
+ * Serves the metrics page, and explanations of where a request would go.
  */
 import { AUXILIARY_SERVERS } from "./plug_ins.ts";
+import { explanationAnswer } from "./route_explanation.ts";
 import { makeTextServer } from "./text_server.ts";
 
 AUXILIARY_SERVERS.register(
   "metrics",
   (view, options) =>
-    makeTextServer(options.instance.metricsAddress, ({ pathname }) => {
-      if (pathname !== "/metrics") return undefined;
-      return {
-        status: 200,
-        contentType: "text/plain",
-        text: view.metricsText(),
-      };
-    }),
+    makeTextServer(
+      options.instance.metricsAddress,
+      ({ pathname, searchParams }) => {
+        if (pathname === "/explain") {
+          return explanationAnswer(view.explainRoute, searchParams);
+        }
+        if (pathname !== "/metrics") return undefined;
+        return {
+          status: 200,
+          contentType: "text/plain",
+          text: view.metricsText(),
+        };
+      },
+    ),
 );
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -7,6 +7,7 @@
   type CrossDomainCost,
   limitWithQueue,
   place,
+  type PlacementContext,
   type PlacementRequest,
   type PlacementResult,
   type StaleEstimate,
@@ -55,11 +56,19 @@
     request: PlacementRequest,
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
+    const servers = this.#options.servers.ofService(service);
+    return place(servers, request, this.contextOf(servers, staleEstimate));
+  }
+
+  /** What a placement among `servers` now depends on. */
+  contextOf(
+    servers: readonly ServerLoad[],
+    staleEstimate: StaleEstimate,
+  ): PlacementContext {
     const { clock, random, failureDomain } = this.#options;
     const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
-    const servers = this.#options.servers.ofService(service);
     const now = clock();
-    return place(servers, request, {
+    return {
       now,
       random,
       ownFailureDomain: failureDomain,
@@ -73,7 +82,7 @@
         ? () => 0
         : reportedOccupancy(servers, now),
       concurrencyLimit: limitWithQueue,
-    });
+    };
   }
 
   /**
@@ -113,7 +122,7 @@
       const candidate = this.#bestCandidate(selection, excluded);
       if (candidate.kind !== "placed") break;
       const { server } = candidate.placement;
-      if (this.#isFresh(server)) return candidate;
+      if (this.isFresh(server)) return candidate;
       const age = this.#reportAgeOf(server);
       const mustProbe = needsLoadProbe({
         reportAgeMilliseconds: age,
@@ -167,7 +176,7 @@
    * Whether a probe would bring nothing. Servers that limit their requests are
    * not probed for each of them.
    */
-  #isFresh(server: ServerLoad): boolean {
+  isFresh(server: ServerLoad): boolean {
     if (server.restrictions.requestLimit !== "none") return true;
     return !needsLoadProbe({
       reportAgeMilliseconds: this.#reportAgeOf(server),
@@ -199,7 +208,7 @@
       const { id } = server.registration;
       picked.add(id);
       pickedDomains.add(server.registration.failureDomain);
-      if (this.#isFresh(server)) continue;
+      if (this.isFresh(server)) continue;
       probes.push(
         this.#options.prober.probeForRequest(server).then((result) => {
           if (result !== "answered") selection.excluded.add(id);
--- a/packages/gateway/src/plug_ins.ts
+++ b/packages/gateway/src/plug_ins.ts
@@ -10,6 +10,7 @@
 import type { DiscoverySource } from "./discovery_source.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayOptions } from "./options.ts";
+import type { ExplainRoute } from "./route_explanation.ts";
 
 export type DiscoveryContext = { readonly writeEvent: WriteEvent };
 export type DiscoveryPlugIn = (
@@ -25,6 +26,8 @@
   /** Call addresses of the entries that a caller is to use. */
   readonly entryAddressesFor: (failureDomain: string | undefined) => Address[];
   readonly metricsText: () => string;
+  /** Where a request would be sent now, without sending it. */
+  readonly explainRoute: ExplainRoute;
 };
 
 export type AuxiliaryServer = {
--- a/packages/gateway/src/service_queue.ts
+++ b/packages/gateway/src/service_queue.ts
@@ -35,7 +35,11 @@
 
   /** Whether other requests are queued ahead of a new one. */
   hasRequestsAhead(request: QueuedRequest): boolean {
-    return this.#queue.countAhead(request, this.#clock()) > 0;
+    return this.countAhead(request) > 0;
+  }
+
+  countAhead(request: QueuedRequest): number {
+    return this.#queue.countAhead(request, this.#clock());
   }
 
   /** Whether a request is expected to be dequeued within its maximum wait. */
--- a/packages/gateway/src/service_states.ts
+++ b/packages/gateway/src/service_states.ts
@@ -32,22 +32,23 @@
     return getOrMake(this.#budgets, service, () => this.#makeBudget());
   }
 
+  /** The queue of a service, if a request has used it. */
+  findQueue(service: ServiceName): ServiceQueue | undefined {
+    return this.#queues.get(service);
+  }
+
   queueOf(service: ServiceName): ServiceQueue {
     const { clock } = this.#options;
     return getOrMake(this.#queues, service, () => new ServiceQueue(clock));
   }
 
   estimatesOf(route: SnapshotRoute): RouteEstimates {
-    const { name, kind, objectiveMilliseconds } = route;
-    return getOrMake(
-      this.#estimates,
-      name,
-      () =>
-        new RouteEstimates({
-          objectiveMilliseconds,
-          isDownload: kind === "download",
-        }),
-    );
+    return getOrMake(this.#estimates, route.name, () => makeEstimates(route));
+  }
+
+  /** Like `estimatesOf`, but does not keep new estimates. */
+  peekEstimatesOf(route: SnapshotRoute): RouteEstimates {
+    return this.#estimates.get(route.name) ?? makeEstimates(route);
   }
 
   #makeBudget(): FleetRetryBudget {
@@ -63,6 +64,15 @@
   }
 }
 
+function makeEstimates(
+  { kind, objectiveMilliseconds }: SnapshotRoute,
+): RouteEstimates {
+  return new RouteEstimates({
+    objectiveMilliseconds,
+    isDownload: kind === "download",
+  });
+}
+
 function getOrMake<Key, Value>(
   map: Map<Key, Value>,
   key: Key,
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -131,7 +131,7 @@
  * Random part of a score, so that entries spread their requests over servers
  * with nearly equal scores.
  */
-const SCORE_JITTER = 0.05;
+export const SCORE_JITTER = 0.05;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
@@ -192,7 +192,7 @@
  * entry are known, so at least the usual load of the service is assumed, except
  * to select the servers to probe.
  */
-function estimatedLoad(
+export function estimatedLoad(
   server: ServerLoad,
   { now, staleEstimate, assumedOccupancy }: ServerView,
 ): number {
@@ -282,6 +282,20 @@
   return total;
 }
 
+/** Score of a server without the random part; the lowest one is selected. */
+export function placementScore(
+  server: ServerLoad,
+  request: PlacementRequest,
+  context: PlacementContext,
+): number {
+  const expected = expectedCompletionMilliseconds(
+    server,
+    request.serviceTimeMilliseconds,
+    context,
+  );
+  return score(server, expected, { request, context });
+}
+
 /**
  * Selects one of `servers` for a request. Blocked servers are used only if
  * there are no others, leaving ones only if no other has room; servers that may
--- a/packages/kernel/src/snapshot_router.ts
+++ b/packages/kernel/src/snapshot_router.ts
@@ -138,6 +138,6 @@
 }
 
 /** Lower case, without a port. */
-function normalizeHost(host: string): string {
+export function normalizeHost(host: string): string {
   return host.toLowerCase().replace(/:\d+$/, "");
 }
