--- a/packages/command/src/command_line.ts
+++ b/packages/command/src/command_line.ts
@@ -26,6 +26,12 @@
   readonly deadlineMilliseconds: number;
   readonly seed: number;
 };
+type ExplainRouteFlags = CommonFlags & {
+  readonly entry?: string | string[];
+  readonly host?: string;
+  readonly method?: string;
+  readonly all?: boolean;
+};
 type StatusFlags = CommonFlags & { readonly entry?: string };
 type ExplainFlags = CommonFlags & {
   readonly method?: string;
@@ -43,7 +49,7 @@
   program.version(VERSION);
   const { message } = makeOutput(false);
   try {
-    program.parse(["node", "marigoldford", ...commandArguments]);
+    program.parse(["node", "marigoldford", ...joinRoute(commandArguments)]);
   } catch (error) {
     message(`${describeUsageError(error)}; see marigoldford --help`);
     return EXIT_CODES.usage;
@@ -56,6 +62,18 @@
   return EXIT_CODES.usage;
 }
 
+/**
+ * Replaces `explain route` by the name of the command, as `cac` matches only
+ * the first word and would take `route` for the id of a request.
+ */
+function joinRoute(words: readonly string[]): readonly string[] {
+  const second = words.findIndex((word, index) =>
+    index > 0 && !word.startsWith("-")
+  );
+  if (words[0] !== "explain" || words[second] !== "route") return words;
+  return ["explain-route", ...words.filter((_, at) => at > 0 && at !== second)];
+}
+
 function describeUsageError(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
@@ -71,6 +89,7 @@
   defineStatusCommand(program, run);
   defineLoadCommand(program, run);
   defineExplainCommand(program, run);
+  defineExplainRouteCommand(program, run);
 }
 
 function missingFlag(flag: string, flags: CommonFlags): Promise<ExitCode> {
@@ -143,6 +162,37 @@
     });
 }
 
+function defineExplainRouteCommand(program: CAC, run: Run): void {
+  program.command(
+    "explain-route <path>",
+    "Show where an entry would send a request now (also: explain route)",
+  )
+    .option("--entry <address>", "Metrics address of the entry")
+    .option("--host <host>", "Host of the request", { default: "" })
+    .option("--method <method>", "Method of the request", { default: "GET" })
+    .option("--all", "List all candidates instead of the first 20")
+    .option("--json", "Print JSON")
+    .example(
+      "marigoldford explain route /read/x --host shop.example " +
+        "--entry 127.0.0.1:9100",
+    )
+    .action((path: string, flags: ExplainRouteFlags) => {
+      if (flags.entry === undefined) return run(missingFlag("--entry", flags));
+      const query = {
+        entry: String(flags.entry),
+        path: String(path),
+        host: String(flags.host),
+        method: String(flags.method),
+        isComplete: flags.all === true,
+      };
+      run(
+        import("./explain_route_command.ts").then(({ runExplainRoute }) =>
+          runExplainRoute(query, makeOutput(flags.json === true))
+        ),
+      );
+    });
+}
+
 async function runSheetAction(
   action: string,
   input: { readonly files: readonly string[]; readonly flags: ExplainFlags },
--- a/packages/command/src/command_line_test.ts
+++ b/packages/command/src/command_line_test.ts
@@ -73,6 +73,33 @@
     expect(missing.error).toContain("expected a log file");
   });
 
+  test("explain route checks what is given before it asks an entry", async () => {
+    const route = ["explain", "route", "/read/x"];
+    const entry = ["--entry", "127.0.0.1:9"];
+    const wrong: [words: string[], code: number, error: string][] = [
+      [route, 2, "Flag --entry is missing"],
+      [["explain", "route", ...entry], 2, "missing required args"],
+      [
+        [...route, "--entry", "x:99999"],
+        2,
+        'Given --entry "x:99999"; expected',
+      ],
+      [
+        ["explain", "route", "read", ...entry],
+        2,
+        'Given path "read"; expected',
+      ],
+      [[...route, ...entry], 3, "127.0.0.1:9 does not answer"],
+      [["explain", "--json", "route", "/x", ...entry], 3, "does not answer"],
+      [["explain", "12", ...entry], 2, "Unknown option"],
+    ];
+    for (const [words, code, error] of wrong) {
+      const result = await run(...words);
+      expect(result.error).toContain(error);
+      expect(result.code).toBe(code);
+    }
+  });
+
   test("the help of a command shows an example", async () => {
     const { code, out } = await run("call", "--help");
     expect(code).toBe(0);
