--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -11,6 +11,7 @@
   type CrossDomainCost,
   limitWithQueue,
   place,
+  type PlacementContext,
   type PlacementRequest,
   type PlacementResult,
   type StaleEstimate,
@@ -71,11 +72,19 @@
     request: PlacementRequest,
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
+    const servers = this.#options.servers.ofService(service);
+    return place(servers, request, this.contextOf(servers, staleEstimate));
+  }
+
+  /** What a placement among `servers` now depends on. */
+  contextOf(
+    servers: readonly ServerLoad[],
+    staleEstimate: StaleEstimate,
+  ): PlacementContext {
     const { clock, random, failureDomain } = this.#options;
     const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
-    const servers = this.#options.servers.ofService(service);
     const now = clock();
-    return place(servers, request, {
+    return {
       now,
       random,
       ownFailureDomain: failureDomain,
@@ -89,7 +98,7 @@
         ? () => 0
         : reportedOccupancy(servers, now),
       concurrencyLimit: limitWithQueue,
-    });
+    };
   }
 
   /**
@@ -131,7 +140,7 @@
       const candidate = this.#bestCandidate(selection, excluded);
       if (candidate.kind !== "placed") break;
       const { server } = candidate.placement;
-      if (this.#isFresh(server)) return candidate;
+      if (this.isFresh(server)) return candidate;
       const mustProbe = needsLoadProbe({
         reportAgeMilliseconds: this.#reportAgeOf(server),
         mayReport: server.mayReport,
@@ -192,7 +201,7 @@
    * Whether a probe would bring nothing. Servers that limit their requests are
    * not probed for each of them.
    */
-  #isFresh(server: ServerLoad): boolean {
+  isFresh(server: ServerLoad): boolean {
     if (server.restrictions.requestLimit !== "none") return true;
     return !needsLoadProbe({
       reportAgeMilliseconds: this.#reportAgeOf(server),
@@ -226,7 +235,7 @@
       const { id } = server.registration;
       picked.add(id);
       pickedDomains.add(server.registration.failureDomain);
-      if (this.#isFresh(server)) continue;
+      if (this.isFresh(server)) continue;
       probes.push(
         this.#options.prober.probeForRequest(server).then((result) => {
           if (result === "answered") selection.probesAnswered += 1;
@@ -245,6 +254,6 @@
   #hasFreshCandidate(selection: Selection): boolean {
     const candidate = this.#bestCandidate(selection, selection.excluded);
     return candidate.kind === "placed" &&
-      this.#isFresh(candidate.placement.server);
+      this.isFresh(candidate.placement.server);
   }
 }
