--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -103,13 +103,15 @@
 
   /**
    * Connections to open for a probe and the request after it, which may take
-   * over the connection of the probe. Where an idle one is left for the
-   * request, the probe's is kept for the next.
+   * over the connection of the probe. In small fleets probes keep their
+   * connections: where an idle one is left for the request, the next probe opens
+   * another.
    */
   #connectionsToOpen({ registration: { id } }: ServerLoad): number {
-    const { prober, servers } = this.#options;
+    const { prober, servers, areReportsExchanged } = this.#options;
     if (prober.isConnected(id)) return 0;
-    return servers.find(id)?.connections.hasIdle ? 0.5 : 1;
+    if (!servers.find(id)?.connections.hasIdle) return 1;
+    return areReportsExchanged() ? 0.5 : 0;
   }
 
   /**
--- a/packages/gateway/src/probe_connection.ts
+++ b/packages/gateway/src/probe_connection.ts
@@ -4,7 +4,8 @@
  * Probes outnumber requests, and each is a plain GET with a small answer: this
  * client takes a fraction of the processor time of Node's HTTP client. A
  * connection is reused only after an answer that declared its length and ended
- * there. A request that follows a probe may take over its connection.
+ * there. A request that follows a probe may take over its connection, and a
+ * probe may use an idle connection of requests.
  */
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
@@ -60,6 +61,12 @@
     });
   }
 
+  /** Sends the next probe on an open connection. */
+  adopt(socket: Socket): void {
+    this.close();
+    this.#socket = this.#attach(socket);
+  }
+
   /** Hands over the socket of a probe that was answered just now, if any. */
   takeSocket(): Socket | undefined {
     const socket = this.#socket;
@@ -83,7 +90,10 @@
 
   #open(): Socket {
     const { host, port } = splitAddress(this.address);
-    const socket = openConnection({ host, port, noDelay: true });
+    return this.#attach(openConnection({ host, port, noDelay: true }));
+  }
+
+  #attach(socket: Socket): Socket {
     socket.unref();
     const onEnd = () => {
       if (socket === this.#socket) this.close();
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -228,9 +228,25 @@
     return connection;
   }
 
+  /** Probes on an idle connection of requests, which may then take it back. */
+  #adoptIdle(server: ServerLoad, connection: ProbeConnection): boolean {
+    if (this.#options.areReportsExchanged()) return false;
+    const { id } = server.registration;
+    const socket = this.#options.servers.find(id)?.connections.takeIdle();
+    if (socket !== undefined) connection.adopt(socket);
+    return socket !== undefined;
+  }
+
   async #sendProbe(server: ServerLoad, path: string): Promise<ProbeResult> {
-    const result = await this.#getInTime(this.#connectionTo(server), path);
     const { reach, clock } = this.#options;
+    const connection = this.#connectionTo(server);
+    const isReused = connection.isOpen || this.#adoptIdle(server, connection);
+    let result = await this.#getInTime(connection, path);
+    // That a server has dropped an idle connection says nothing of its health.
+    if (result === "failed" && isReused) {
+      this.#options.onProbe();
+      result = await this.#getInTime(connection, path);
+    }
     const { id, service } = server.registration;
     if (typeof result !== "string") {
       reach.recordAnswer(service);
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -22,6 +22,9 @@
   readonly takeConnection: () => Socket | undefined;
 };
 
+/** Connections without a request, by host. */
+type FreeSockets = Record<string, Socket[] | undefined>;
+
 type IdlePeriod = {
   readonly destroy: () => void;
   readonly sinceMilliseconds: number;
@@ -67,6 +70,17 @@
   return FAILED_SOCKETS.has(socket);
 }
 
+/** Stops closing a connection for what happens while it is idle. */
+function stopIdlePeriod(socket: Socket): void {
+  const period = IDLE_PERIODS.get(socket);
+  if (period !== undefined) {
+    for (const event of ["data", "end", "timeout"]) {
+      socket.off(event, period.destroy);
+    }
+  }
+  socket.setTimeout(0);
+}
+
 export class ServerConnections extends Agent {
   readonly #options: ServerConnectionsOptions;
   #isDraining = false;
@@ -115,6 +129,23 @@
     return false;
   }
 
+  /**
+   * Takes the idle connection that was used last out of the pool, for a probe;
+   * undefined if there is none.
+   */
+  takeIdle(): Socket | undefined {
+    for (const [name, sockets = []] of Object.entries(this.freeSockets)) {
+      const socket = sockets.pop();
+      if (sockets.length === 0) delete (this.freeSockets as FreeSockets)[name];
+      if (socket === undefined || !socket.writable) continue;
+      stopIdlePeriod(socket);
+      // Node's agent then forgets the connection.
+      socket.emit("agentRemove");
+      return socket;
+    }
+    return undefined;
+  }
+
   /**
    * Records that a connection broke during a request, before any byte of an
    * answer.
@@ -171,13 +202,9 @@
     super.reuseSocket(socket, request);
     const period = IDLE_PERIODS.get(socket);
     if (period !== undefined) {
-      const { destroy, sinceMilliseconds } = period;
-      const idleMilliseconds = this.#options.clock() - sinceMilliseconds;
+      const idleMilliseconds = this.#options.clock() - period.sinceMilliseconds;
       IDLE_BEFORE_REQUEST.set(socket, idleMilliseconds);
-      socket.off("data", destroy);
-      socket.off("end", destroy);
-      socket.off("timeout", destroy);
     }
-    socket.setTimeout(0);
+    stopIdlePeriod(socket);
   }
 }
--- a/packages/gateway/src/server_connections_test.ts
+++ b/packages/gateway/src/server_connections_test.ts
@@ -49,6 +49,17 @@
   return await text(answer);
 }
 
+it("a probe takes an idle connection, and the request after it takes it back", async () => {
+  for (let count = 0; count < 5; count++) {
+    const idle = connections.takeIdle();
+    if (idle !== undefined) probe.adopt(idle);
+    expect((await probe.get("/health"))?.status).toBe(200);
+    expect(connections.hasIdle).toBe(false);
+    expect(await send()).toBe("ok");
+  }
+  expect(connectionCount).toBe(1);
+});
+
 it("a request takes over the connection of the probe before it", async () => {
   for (let count = 0; count < 3; count++) {
     expect((await probe.get("/health"))?.status).toBe(200);
