--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -15,6 +15,11 @@
   type DiscoveryListing,
   DiscoveryState,
 } from "@marigoldford/kernel/discovery_state";
+import {
+  countEvacuations,
+  hasAllEvacuations,
+  type ToldEvacuation,
+} from "@marigoldford/kernel/evacuations";
 import {
   isBehind,
   type StateProgress,
@@ -51,6 +56,8 @@
   readonly baseRevision: number;
   readonly revision: number;
   readonly changes: readonly DiscoveryChange[];
+  /** Number of evacuations among the changes, unless some may be missing. */
+  readonly evacuationCount?: number;
   /** The snapshot that was known at the base revision. */
   readonly baseSnapshot?: RoutingSnapshot;
   /** Longest time since the service made the answer. */
@@ -215,14 +222,22 @@
       return era < this.state.era;
     }
     if (update.baseRevision > this.state.revision) return false;
+    const { changes, revision, baseRevision } = update;
+    const evacuationsFrom = hasAllEvacuations(update) ? baseRevision : Infinity;
     this.#applyUpdate(
       "peer",
-      () => this.state.apply(update.changes, update.revision, this.#now()),
+      () => this.state.apply(changes, revision, this.#now(), evacuationsFrom),
     );
     if (this.state.revision <= update.revision) this.#confirm(ageMilliseconds);
     return true;
   }
 
+  /** Applies evacuations that a peer repeats beside its members. */
+  applyPeerEvacuations(told: readonly ToldEvacuation[] = []): void {
+    const changes = this.state.mergeEvacuations(told, this.#now());
+    if (changes.length > 0) this.#options.onChange(changes);
+  }
+
   /** Undefined if the difference applies to a snapshot that is not known. */
   #withWholeSnapshot(
     { snapshotDifference: difference, ...update }: PeerUpdate,
@@ -260,7 +275,8 @@
   /**
    * Drops servers that did not register again in time after an outage, and adds
    * those that turned out to renew a registration that was removed before; an
-   * old state does not show whether it expired.
+   * old state does not show whether it expired. Ends evacuations that were not
+   * written again in time after a restore.
    */
   settleProvisional(): void {
     const dropped = this.state.dropExpired(this.#now()).map((
@@ -275,7 +291,8 @@
     const renewed = this.stateAgeMilliseconds <= maximumStateAgeMilliseconds
       ? this.state.applyRenewed(this.#now())
       : [];
-    const changes = [...dropped, ...renewed];
+    const ended = this.state.endExpiredEvacuations(this.#now());
+    const changes = [...dropped, ...renewed, ...ended];
     if (changes.length > 0) this.#options.onChange(changes);
   }
 
@@ -390,9 +407,11 @@
       0,
       Math.round(settings.watchWaitMilliseconds - this.stateAgeMilliseconds),
     );
-    const failure = this.#mustReadAll || base.revision === 0
+    const { watchRevision } = this.state;
+    const mustReadAll = this.#mustReadAll || base.revision === 0;
+    const failure = mustReadAll || watchRevision === undefined
       ? await this.#readAll(base)
-      : await this.#watch(base, waitMilliseconds);
+      : await this.#watch(base, watchRevision, waitMilliseconds);
     this.#options.onServiceCall(failure?.kind ?? "answered");
     if (failure !== undefined) return await this.#onFailure(failure, reason);
     const hadState = base.revision > 0;
@@ -417,14 +436,17 @@
       return outdated(era);
     }
     this.#mustReadAll = false;
-    const listing = { era, revision, changes };
+    const evacuationCount = countEvacuations(changes);
+    const listing = { era, revision, changes, evacuationCount };
     const previous = this.state.position;
     const isSameHistory = previous.revision > 0 && era === previous.era;
     const isOvertaken = comparePositions(base, previous) < 0 &&
       comparePositions(listing, previous) < 0;
     if (isOvertaken) {
-      // Peers have told later changes, so the state lacks nothing.
+      // Peers have told later changes, so the state lacks at most evacuations.
       this.#applySnapshots(changes);
+      const missed = this.state.applyEvacuations(listing, this.#now());
+      if (missed.length > 0) this.#options.onChange(missed);
       this.#onSuccess({
         ...previous,
         baseRevision: previous.revision,
@@ -435,12 +457,18 @@
     }
     const isKnown = isSameHistory && revision <= previous.revision;
     const baseSnapshot = this.state.snapshot;
+    const differences = isKnown || !isSameHistory
+      ? []
+      : this.state.changesTo(listing);
     const update: DiscoveryUpdate = isSameHistory
       ? {
         era,
         baseRevision: isKnown ? revision : previous.revision,
         revision,
-        changes: isKnown ? [] : this.state.changesTo(listing),
+        changes: differences,
+        ...(this.state.hasAllEvacuations
+          ? { evacuationCount: countEvacuations(differences) }
+          : {}),
         baseSnapshot,
         ageMilliseconds,
       }
@@ -460,13 +488,14 @@
 
   async #watch(
     base: DiscoveryPosition,
+    afterRevision: number,
     waitMilliseconds: number,
   ): Promise<DiscoveryFailure | undefined> {
     const { settings } = this.#options;
     const baseSnapshot = this.state.snapshot;
     const askedAt = this.#now();
     const answer = await this.#ask((source) =>
-      source.watch(base.revision, waitMilliseconds)
+      source.watch(afterRevision, waitMilliseconds)
     );
     if (answer.isErr()) {
       const isLate = this.state.era > base.era;
@@ -485,7 +514,7 @@
     }
     this.#applyUpdate(
       "service",
-      () => this.state.apply(changes, revision, this.#now()),
+      () => this.state.apply(changes, revision, this.#now(), afterRevision),
     );
     const baseRevision = base.revision;
     const elapsed = this.#now() - askedAt;
@@ -496,6 +525,7 @@
       baseRevision,
       revision,
       changes,
+      evacuationCount: countEvacuations(changes),
       baseSnapshot,
       ageMilliseconds: hasWaited ? elapsed - waitMilliseconds : elapsed,
     });
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -36,6 +36,12 @@
     from: string;
     revision?: number;
   }
+  | {
+    event: "evacuation-started" | "evacuation-ended";
+    domain: string;
+    from: string;
+    revision: number;
+  }
   | {
     event: "request-limit";
     server: string;
--- a/packages/gateway/src/fleet_membership.ts
+++ b/packages/gateway/src/fleet_membership.ts
@@ -7,6 +7,7 @@
  * they are recent, and on request. An entry sends changes of its own state to
  * all peers at once.
  */
+import type { ToldEvacuation } from "@marigoldford/kernel/evacuations";
 import {
   FleetMembers,
   type MemberRecord,
@@ -32,6 +33,8 @@
   readonly seeds: () => readonly Address[];
   readonly socket: Pick<DatagramSocket, "send">;
   readonly discoveryFreshness: () => DiscoveryFreshness;
+  /** Evacuations to repeat in each message. */
+  readonly evacuations: () => readonly ToldEvacuation[];
   readonly writeEvent: WriteEvent;
 };
 
@@ -211,6 +214,7 @@
     records: readonly MemberRecord[],
     wantsReply: boolean,
   ): void {
+    const evacuations = this.#options.evacuations();
     this.#options.socket.send(to, {
       kind: "members",
       from: this.#options.self.incarnation,
@@ -219,6 +223,7 @@
         this.members.heartbeatsToSend(MAXIMUM_HEARTBEATS, this.#options.random),
       ),
       news: this.#options.discoveryFreshness(),
+      ...(evacuations.length === 0 ? {} : { evacuations }),
       wantsReply,
     });
   }
--- a/packages/gateway/src/fleet_membership_test.ts
+++ b/packages/gateway/src/fleet_membership_test.ts
@@ -68,6 +68,7 @@
       seeds: () => [addressOf(0), addressOf(1), addressOf(2)],
       socket: { send },
       discoveryFreshness: () => ({ revision: 1, ageMilliseconds: 0 }),
+      evacuations: () => [],
       writeEvent: () => {},
     });
     const node: Node = { fleet, address, isUp: true, sent: 0, bytes: 0 };
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -15,6 +15,7 @@
   DiscoveryChange,
   DiscoveryListing,
 } from "@marigoldford/kernel/discovery_state";
+import type { ToldEvacuation } from "@marigoldford/kernel/evacuations";
 import {
   type JsonObject,
   malformed,
@@ -35,6 +36,7 @@
 } from "@marigoldford/kernel/foreign_fields";
 import {
   readChange,
+  readEvacuation,
   readSnapshotDifference,
 } from "@marigoldford/kernel/foreign_state";
 import type { SnapshotDifference } from "@marigoldford/kernel/snapshot_difference";
@@ -85,6 +87,12 @@
     readonly heartbeats: Uint8Array;
     /** Freshness of the sender's discovery state. */
     readonly news: DiscoveryFreshness;
+    /**
+     * Evacuations in force, and those that have ended lately. They are repeated
+     * here as earlier builds, which do not tell them, leave them out of the
+     * changes that they forward.
+     */
+    readonly evacuations?: readonly ToldEvacuation[];
     /** Whether the receiver is to reply with the members it knows. */
     readonly wantsReply: boolean;
   }
@@ -152,6 +160,8 @@
     readonly baseRevision: number;
     readonly revision: number;
     readonly changes: readonly DiscoveryChange[];
+    /** Number of evacuations among the changes; earlier builds tell none. */
+    readonly evacuationCount?: number;
     /** In place of a snapshot among the changes, if the base is known. */
     readonly snapshotDifference?: SnapshotDifference;
     readonly ageMilliseconds: number;
@@ -288,10 +298,16 @@
         readUsable(message.records, "records", readMemberRecord, onIgnored),
         readBytes(message.heartbeats, "heartbeats"),
         readFreshness(message.news),
-      ]).map(([records, heartbeats, news]) => ({
+        readOptional(
+          message,
+          "evacuations",
+          (value, path) => readUsable(value, path, readEvacuation, onIgnored),
+        ),
+      ]).map(([records, heartbeats, news, evacuations]) => ({
         records,
         heartbeats,
         news,
+        ...evacuations,
         wantsReply: message.wantsReply === true,
       }));
     case "who":
@@ -363,6 +379,7 @@
         readInteger(message.baseRevision, "baseRevision"),
         readInteger(message.revision, "revision"),
         readChanges(message.changes, onIgnored),
+        readOptional(message, "evacuationCount", readInteger),
         readOptional(message, "snapshotDifference", readSnapshotDifference),
         readAge(message.ageMilliseconds),
         readOptional(message, "departure", readDeparture),
@@ -374,6 +391,7 @@
           baseRevision,
           revision,
           changes,
+          evacuationCount,
           snapshotDifference,
           ageMilliseconds,
           departure,
@@ -385,6 +403,7 @@
         baseRevision,
         revision,
         changes,
+        ...evacuationCount,
         ...snapshotDifference,
         ageMilliseconds,
         ...departure,
@@ -412,7 +431,13 @@
       readOptional(reading, "era", readInteger),
       readInteger(reading.revision, "revision"),
       readChanges(reading.changes, onIgnored),
-    ]).map(([era, revision, changes]) => ({ ...era, revision, changes }))
+      readOptional(reading, "evacuationCount", readInteger),
+    ]).map(([era, revision, changes, evacuationCount]) => ({
+      ...era,
+      revision,
+      changes,
+      ...evacuationCount,
+    }))
   );
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
+import { logChange } from "./discovery_change_log.ts";
 import { DiscoveryExchange } from "./discovery_exchange.ts";
 import { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
@@ -469,6 +470,7 @@
       seeds: () => this.#seedDatagramAddresses(),
       socket: this.#datagramSocket,
       discoveryFreshness: () => this.#exchange.freshness(),
+      evacuations: () => this.#discovery.state.toldEvacuations(this.#clock()),
       writeEvent: this.#writeEvent,
     });
   }
@@ -547,7 +549,8 @@
   #onDiscoveryChange(changes: readonly DiscoveryChange[]): void {
     this.#servers.sync(this.#discovery.state);
     this.#prober.reassign();
-    for (const change of changes) this.#logChange(change);
+    const from = this.#discovery.isWatching ? "service" : "peer";
+    for (const change of changes) logChange(change, from, this.#writeEvent);
     const { snapshot } = this.#discovery.state;
     if (snapshot !== undefined && this.#router.adopt(snapshot)) {
       this.#callServer.setLimits(snapshot.limits);
@@ -555,7 +558,7 @@
       this.#writeEvent({
         event: "configuration-adopted",
         version: snapshot.version,
-        from: this.#discovery.isWatching ? "service" : "peer",
+        from,
         routes: snapshot.routes.length,
       });
     }
@@ -570,35 +573,12 @@
     });
   }
 
-  #logChange(change: DiscoveryChange): void {
-    if (change.kind === "snapshot") return;
-    const from = this.#discovery.isWatching ? "service" : "peer";
-    if (change.kind === "gone") {
-      this.#writeEvent({
-        event: "server-changed",
-        server: change.id,
-        change: change.reason,
-        from,
-        revision: change.revision,
-      });
-      return;
-    }
-    const { id, service, state } = change.registration;
-    this.#writeEvent({
-      event: "server-changed",
-      server: id,
-      service,
-      change: state,
-      from,
-      revision: change.revision,
-    });
-  }
-
   #onDatagram(datagram: FleetDatagram, sender: Address): void {
     if (datagram.from === this.#incarnation) return;
     switch (datagram.kind) {
       case "members":
         this.#fleet.receive(datagram, sender);
+        this.#discovery.applyPeerEvacuations(datagram.evacuations);
         this.#exchange.receiveFreshness(datagram.news, sender);
         return;
       case "who":
@@ -669,6 +649,7 @@
       servers: this.#servers.size,
       limited_servers: limited,
       leaving_servers: leaving,
+      evacuated_domains: this.#discovery.state.evacuatedDomains,
       peers: this.#fleet.members.livePeers().length,
       configuration_version: this.#router.snapshot?.version ?? 0,
       discovery_era: this.#discovery.state.era,
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -11,6 +11,7 @@
   positionOf,
   type ToldPosition,
 } from "@marigoldford/kernel/discovery_position";
+import type { ToldEvacuation } from "@marigoldford/kernel/evacuations";
 import {
   decodeDatagram,
   decodeFleetFrame,
@@ -82,6 +83,23 @@
     news: { revision: 9, ageMilliseconds: Number.MAX_SAFE_INTEGER },
     wantsReply: true,
   },
+  {
+    kind: "members",
+    from: "abc",
+    records: [],
+    heartbeats: BYTES,
+    news: NEWS,
+    evacuations: [
+      { era: 3, revision: 8, failureDomain: "a", isEvacuated: true },
+      {
+        revision: 0,
+        failureDomain: "b",
+        isEvacuated: true,
+        graceMilliseconds: 9,
+      },
+    ],
+    wantsReply: false,
+  },
   { kind: "who", from: "abc", tags: [0, 0xffffffff] },
   { kind: "news", from: "abc", news: NEWS },
   {
@@ -135,6 +153,13 @@
     withheldMilliseconds: 4_000,
   },
   { kind: "gone", revision: 6, id: "server-2", reason: "removed" },
+  {
+    kind: "evacuation",
+    revision: 7,
+    failureDomain: "a",
+    isEvacuated: true,
+    graceMilliseconds: 20.5,
+  },
 ] as const;
 const FRAMES: readonly FleetFrame[] = [
   {
@@ -143,6 +168,7 @@
     baseRevision: 4,
     revision: 9,
     changes: CHANGES,
+    evacuationCount: 1,
     snapshotDifference: {
       baseVersions: [1],
       removedRoutes: ["old"],
@@ -156,7 +182,7 @@
   { kind: "reading-request" },
   {
     kind: "reading",
-    reading: { era: 3, revision: 9, changes: CHANGES },
+    reading: { era: 3, revision: 9, changes: CHANGES, evacuationCount: 1 },
     ageMilliseconds: 12,
     departure: DEPARTURE,
   },
@@ -319,6 +345,7 @@
         expect(Number.isSafeInteger(record.counter)).toBe(true);
       }
       expect(message.heartbeats).toBeInstanceOf(Uint8Array);
+      message.evacuations?.forEach(expectUsableEvacuation);
       return expectUsableFreshness(message.news);
     case "news":
       return expectUsableFreshness(message.news);
@@ -349,6 +376,13 @@
   expect(news.ageMilliseconds).toBeGreaterThanOrEqual(0);
 }
 
+function expectUsableEvacuation(told: ToldEvacuation): void {
+  expectUsablePosition(told);
+  expect(told.failureDomain).toMatch(/^[^]{1,256}$/);
+  expect(typeof told.isEvacuated).toBe("boolean");
+  expect(told.graceMilliseconds ?? 0).toBeGreaterThanOrEqual(0);
+}
+
 function expectUsablePosition(told: ToldPosition): void {
   const { era, revision } = positionOf(told);
   expect(Number.isSafeInteger(era)).toBe(true);
@@ -369,6 +403,7 @@
         expect(milliseconds).toBeLessThan(2 ** 31);
       }
     }
+    if (change.kind === "evacuation") expectUsableEvacuation(change);
     if (change.kind !== "snapshot") continue;
     for (const route of change.snapshot.routes) {
       expect(route.services.length).toBeGreaterThan(0);
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -63,6 +63,11 @@
 const REASSIGN_MILLISECONDS = 500;
 /** Servers that limit their requests are probed less often. */
 const LIMITED_REPORT_AGE_MILLISECONDS = 2_000;
+/**
+ * Servers that came back are asked whether they are cold, this many in a tick.
+ * More would use up the budget that requests need for their probes.
+ */
+const MAXIMUM_WARMTH_PROBES = 2;
 const HEALTHY_STATUS = 200;
 
 export class Prober {
@@ -174,6 +179,7 @@
   #tick(): void {
     const now = this.#options.clock();
     if (now - this.#assignedAt > REASSIGN_MILLISECONDS) this.#assign(now);
+    this.#probeUnknownWarmth();
     if (!this.#options.areReportsExchanged()) return;
     const { maximumReportAgeMilliseconds } = this.#options.settings;
     for (const server of this.#assigned) {
@@ -187,6 +193,18 @@
     }
   }
 
+  #probeUnknownWarmth(): void {
+    let probes = 0;
+    for (const { load } of this.#options.servers.all()) {
+      if (!load.isWarmthUnknown || this.#pending.has(load.registration.id)) {
+        continue;
+      }
+      if (probes === MAXIMUM_WARMTH_PROBES) return;
+      probes += 1;
+      void this.probe(load);
+    }
+  }
+
   #assign(now: number): void {
     this.#assignedAt = now;
     this.#closeUnusedConnections();
@@ -248,6 +266,7 @@
     const { id } = server.registration;
     if (singleHeader(headers, protocol.headers.serverId) !== id) return;
     server.recordReportedHealth(status === HEALTHY_STATUS);
+    server.recordHealthCheck();
     onHealthCheck(server, head);
     const report = protocol.readLoad(headers);
     if (report === undefined) return server.recordMissingReport();
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -376,13 +376,12 @@
   #sendAttempt(placement: Placement, reason: AttemptReason): void {
     const { server } = placement;
     const { id } = server.registration;
-    const usableServer = this.#context.servers.find(id);
-    if (usableServer === undefined) return this.#fail("no-server");
-    // Another request may have used up the permission during a probe.
-    if (!server.restrictions.trySpend(this.#context.clock())) {
+    const known = this.#context.servers.find(id);
+    // It may be gone, or another request has used up the permission.
+    if (!known || !server.restrictions.trySpend(this.#context.clock())) {
       return void this.#startAttempt(reason);
     }
-    this.#launch(placement, usableServer.connections, reason, false);
+    this.#launch(placement, known.connections, reason, false);
   }
 
   #launch(
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -102,6 +102,7 @@
   });
   table.sync(
     {
+      isEvacuated: () => false,
       records: new Map([["server-1", {
         revision: 1,
         registration: {
@@ -288,6 +289,24 @@
   expect(answer.rawHeaders.join(" ")).not.toContain("answering-server");
 });
 
+// Guards against: a request is refused, although other servers are left, because
+// its server was evacuated after it had been selected.
+it("a request whose server is gone by now is sent to another one", async () => {
+  const { servers: table, ...others } = makeContext(await startLeavingServer());
+  let isGone = true;
+  const servers = {
+    ofService: (service: string) => table.ofService(service),
+    find: (id: string) => {
+      const found = isGone ? undefined : table.find(id);
+      isGone = false;
+      return found;
+    },
+  } as unknown as ServerTable;
+  const context = { ...others, servers };
+  const answer = await call(await startExchanges(context));
+  expect(answer.statusCode).toBe(200);
+});
+
 it("the header that names a server is limited to its connection", async () => {
   const context = makeContext(await startLeavingServer(), readLeaving);
   const port = await startExchanges({ ...context, origin: "peer" });
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -48,6 +48,8 @@
   readonly #options: ServerTableOptions;
   readonly #servers = new Map<string, UsableServer>();
   readonly #idleLimits = new Map<ServiceName, IdleLimit>();
+  /** Servers that are registered as ready in an evacuated failure domain. */
+  #evacuated: ReadonlySet<string> = new Set();
   #byService = new Map<ServiceName, ServerLoad[]>();
   #byTag = new Map<number, UsableServer>();
 
@@ -98,15 +100,25 @@
     return counts;
   }
 
-  /** Updates the table to the discovered backend servers. */
+  /**
+   * Updates the table to the discovered backend servers. One that comes back
+   * after an evacuation may be cold without its registration saying so yet.
+   */
   sync(state: DiscoveryState): void {
     const now = this.#options.clock();
     const usable = new Set<string>();
+    const evacuated = new Set<string>();
     for (const [id, { registration }] of state.records) {
       if (registration.state !== "ready") continue;
+      if (state.isEvacuated(registration.failureDomain)) {
+        evacuated.add(id);
+        continue;
+      }
       usable.add(id);
       this.#addOrUpdate(registration, now);
+      if (this.#evacuated.has(id)) this.#servers.get(id)?.load.forgetWarmth();
     }
+    this.#evacuated = evacuated;
     for (const id of this.#servers.keys()) {
       if (!usable.has(id)) this.#remove(id);
     }
--- a/packages/kernel/src/discovery_state.ts
+++ b/packages/kernel/src/discovery_state.ts
@@ -8,6 +8,8 @@
  * - A registration is accepted only if the same process of the backend server
  *   has not published a newer one, so that a write which the discovery service
  *   performs late cannot bring back a server that is draining.
+ * - Evacuations of failure domains are ordered by their own positions, as some
+ *   messages of peers leave them out; see `evacuations.ts`.
  * - Registrations expire while the servers cannot reach the discovery service.
  *   Those that are missing after such an outage are kept provisionally and
  *   dropped unless they are renewed within a grace period.
@@ -17,15 +19,22 @@
  *   sequences, and the snapshot's version, are newer than the copy's.
  */
 import {
+  comparePositions,
   type DiscoveryPosition,
   positionOf,
   type ToldPosition,
   UNKNOWN_ERA,
 } from "./discovery_position.ts";
+import {
+  type EvacuationChange,
+  Evacuations,
+  type ToldEvacuation,
+} from "./evacuations.ts";
 import type {
   RoutingSnapshot,
   ServerRegistration,
 } from "./routing_snapshot.ts";
+import type { FailureDomain } from "./types.ts";
 
 /** A change reported by the discovery service. */
 export type DiscoveryChange =
@@ -48,11 +57,17 @@
      * - `lost`: the service was restored from a copy without the item.
      */
     readonly reason: "removed" | "unreadable" | "lost";
-  };
+  }
+  | EvacuationChange;
 
 /** Complete contents of the discovery service at a revision. */
 export type DiscoveryListing = ToldPosition & {
   readonly changes: readonly DiscoveryChange[];
+  /**
+   * Number of evacuations among the changes, which are all that are in force.
+   * Without it, or with another one, the listing ends no evacuation.
+   */
+  readonly evacuationCount?: number;
 };
 
 export type ServerRecord = {
@@ -96,6 +111,7 @@
   readonly #options: DiscoveryStateOptions;
   readonly #records = new Map<string, ServerRecord>();
   readonly #lastRegistrations = new Map<string, LastRegistration>();
+  readonly #evacuations: Evacuations;
   readonly #withheld = new Map<string, WithheldRegistration>();
   #snapshot: RoutingSnapshot | undefined;
   #era = UNKNOWN_ERA;
@@ -104,6 +120,7 @@
 
   constructor(options: DiscoveryStateOptions) {
     this.#options = options;
+    this.#evacuations = new Evacuations(options.outageGraceMilliseconds);
   }
 
   get position(): DiscoveryPosition {
@@ -127,6 +144,31 @@
     return this.#records;
   }
 
+  get evacuatedDomains(): number {
+    return this.#evacuations.size;
+  }
+
+  isEvacuated(failureDomain: FailureDomain): boolean {
+    return this.#evacuations.isEvacuated(failureDomain);
+  }
+
+  /**
+   * The revision after which to watch: older than that of the state if peers
+   * have told changes without the evacuations among them. Undefined if only a
+   * listing shows whether the evacuations known from before this era go on.
+   */
+  get watchRevision(): number | undefined {
+    const { era, revision } = this.#evacuations.completeTo;
+    if (era === this.#era) return Math.min(revision, this.#revision);
+    return this.#evacuations.size === 0 ? this.#revision : undefined;
+  }
+
+  /** Whether all evacuations up to the position of the state are known. */
+  get hasAllEvacuations(): boolean {
+    const order = comparePositions(this.#evacuations.completeTo, this.position);
+    return order >= 0;
+  }
+
   /** Records that the discovery service answers again after an outage. */
   recordRecovery(now: number): void {
     this.#graceUntilMilliseconds = now + this.#options.outageGraceMilliseconds;
@@ -135,17 +177,21 @@
   /**
    * Applies changes of the current era up to `revision`; returns those that had
    * an effect. The state is complete up to its own revision, so older changes
-   * are late.
+   * are late. From `evacuationsFrom` on no evacuation is missing among them.
    */
   apply(
     changes: readonly DiscoveryChange[],
     revision: number,
     now: number,
+    evacuationsFrom = Infinity,
   ): DiscoveryChange[] {
     const current = changes.filter((change) =>
-      change.kind === "snapshot" || change.revision > this.#revision
+      change.kind === "snapshot" || change.kind === "evacuation" ||
+      change.revision > this.#revision
     );
-    return this.#applyAll(current, revision, now);
+    const applied = this.#applyAll(current, revision, now);
+    this.#evacuations.recordComplete(this.#era, evacuationsFrom, revision);
+    return applied;
   }
 
   #applyAll(
@@ -183,11 +229,42 @@
     for (const id of this.#withheld.keys()) {
       if (!present.has(id)) this.#withheld.delete(id);
     }
-    return this.#applyAll(
+    const evacuations = this.#evacuations.applyListing(listing, now);
+    const applied = this.#applyAll(
       [...missing, ...listing.changes],
       listing.revision,
       now,
     );
+    return [...evacuations, ...applied];
+  }
+
+  /** Applies only the evacuations of a listing, which may be an older one. */
+  applyEvacuations(listing: DiscoveryListing, now: number): DiscoveryChange[] {
+    return this.#evacuations.applyListing(listing, now);
+  }
+
+  /** Applies evacuations that a peer repeats; returns the effective ones. */
+  mergeEvacuations(
+    told: readonly ToldEvacuation[],
+    now: number,
+  ): DiscoveryChange[] {
+    return told.filter((evacuation) => this.#evacuations.merge(evacuation, now))
+      .map(({ revision, failureDomain, isEvacuated }) => ({
+        kind: "evacuation",
+        revision,
+        failureDomain,
+        isEvacuated,
+      }));
+  }
+
+  /** Evacuations to repeat to peers: in force, or ended lately. */
+  toldEvacuations(now: number): ToldEvacuation[] {
+    return this.#evacuations.told(now);
+  }
+
+  /** Ends evacuations that were not renewed in their grace period. */
+  endExpiredEvacuations(now: number): DiscoveryChange[] {
+    return this.#evacuations.endExpired(now);
   }
 
   /**
@@ -199,9 +276,13 @@
     const newer = listing.changes.filter((change) =>
       change.kind === "snapshot"
         ? change.snapshot.version > version
-        : change.revision > this.#revision
+        : change.kind !== "evacuation" && change.revision > this.#revision
     );
-    return [...this.#missingFrom(listing, "removed"), ...newer];
+    return [
+      ...this.#missingFrom(listing, "removed"),
+      ...this.#evacuations.changesTo(listing),
+      ...newer,
+    ];
   }
 
   /** Removals of the servers that are known but not listed. */
@@ -274,7 +355,14 @@
         withheldMilliseconds: Math.max(0, untilMilliseconds - now),
       });
     }
-    return { ...this.position, changes };
+    const evacuations = this.#evacuations.listed(now);
+    return {
+      ...this.position,
+      changes: [...changes, ...evacuations],
+      ...(this.hasAllEvacuations
+        ? { evacuationCount: evacuations.length }
+        : {}),
+    };
   }
 
   /** Makes what is known older than all that the restored service holds. */
@@ -308,6 +396,8 @@
         return this.#applyRegistration(change, now);
       case "gone":
         return this.#applyRemoval(change, now);
+      case "evacuation":
+        return this.#evacuations.merge({ ...change, era: this.#era }, now);
     }
   }
 
--- a/packages/kernel/src/foreign_state.ts
+++ b/packages/kernel/src/foreign_state.ts
@@ -4,10 +4,12 @@
  */
 import { err, ok, Result } from "neverthrow";
 import type { DiscoveryChange } from "./discovery_state.ts";
+import type { ToldEvacuation } from "./evacuations.ts";
 import {
   type JsonObject,
   malformed,
   readArray,
+  readBoolean,
   readInteger,
   readObject,
   readOneOf,
@@ -44,7 +46,12 @@
   "download",
 ];
 const REASONS = ["removed", "unreadable", "lost"] as const;
-const CHANGE_KINDS = ["snapshot", "registration", "gone"] as const;
+const CHANGE_KINDS = [
+  "snapshot",
+  "registration",
+  "gone",
+  "evacuation",
+] as const;
 
 type Read<Value> = Result<Value, ValueMalformed>;
 
@@ -65,6 +72,9 @@
             snapshot,
           }));
         }
+        if (kind === "evacuation") {
+          return readEvacuation(change).map((told) => ({ ...told, kind }));
+        }
         return readInteger(change.revision, "revision").andThen((revision) =>
           kind === "gone"
             ? readRemoval(change.id, change.reason, revision)
@@ -75,6 +85,25 @@
   );
 }
 
+/** Reads an evacuation that a peer tells, in a change or beside its members. */
+export function readEvacuation(value: unknown): Read<ToldEvacuation> {
+  return readObject(value, "evacuation").andThen((fields) =>
+    Result.combine([
+      readOptional(fields, "era", readInteger),
+      readInteger(fields.revision, "revision"),
+      readName(fields.failureDomain, "failureDomain"),
+      readBoolean(fields.isEvacuated, "isEvacuated"),
+      readOptional(fields, "graceMilliseconds", readMilliseconds),
+    ])
+  ).map(([era, revision, failureDomain, isEvacuated, grace]) => ({
+    ...era,
+    revision,
+    failureDomain,
+    isEvacuated,
+    ...grace,
+  }));
+}
+
 function readRemoval(
   id: unknown,
   reason: unknown,
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -69,6 +69,8 @@
   #isWithoutReports = false;
   #peerCounts = new Map<string, PeerCount>();
   #warmAtMilliseconds: number;
+  /** Whether the server counts as cold because nothing recent says otherwise. */
+  #isWarmthUnknown = false;
   #lastFailureRate = 0;
   #lastOutcomeAtMilliseconds = 0;
   #consecutiveFailures = 0;
@@ -86,9 +88,15 @@
     this.#warmAtMilliseconds = now + registration.warmUpLeftMilliseconds;
   }
 
-  /** Applies a newer registration of the same process of the server. */
+  /**
+   * Applies a registration of the same process of the server. One that is known
+   * already says nothing new, although its warm-up is counted from its arrival.
+   */
   updateRegistration(registration: ServerRegistration, now: number): void {
+    const isNews = registration.sequence !== this.registration.sequence;
     this.registration = registration;
+    if (!isNews) return;
+    this.#isWarmthUnknown = false;
     this.#warmAtMilliseconds = now + registration.warmUpLeftMilliseconds;
   }
 
@@ -115,7 +123,25 @@
   }
 
   isCold(now: number): boolean {
-    return now < this.#warmAtMilliseconds;
+    return this.#isWarmthUnknown || now < this.#warmAtMilliseconds;
+  }
+
+  /** Whether the server counts as cold until it is asked. */
+  get isWarmthUnknown(): boolean {
+    return this.#isWarmthUnknown;
+  }
+
+  /**
+   * Counts the server as cold until a health check or a new registration: it
+   * has had no requests for a while, and its registration may be older.
+   */
+  forgetWarmth(): void {
+    this.#isWarmthUnknown = true;
+  }
+
+  /** Records that the server itself has answered a health check. */
+  recordHealthCheck(): void {
+    this.#isWarmthUnknown = false;
   }
 
   /**
--- a/scripts/check_platform_names.mjs
+++ b/scripts/check_platform_names.mjs
@@ -16,6 +16,7 @@
   "current_rev",
   "more_pages",
   "op/config",
+  "op/evacuate",
   "route_type",
   "non_idempotent",
   "traffic_split",
