--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -56,6 +56,8 @@
     /** Time since the server said it first. */
     ageMilliseconds: number;
   }
+  /** The server says in a health check that it is cold, for this time. */
+  | { event: "server-cold"; server: string; milliseconds: number }
   /** The server wants no request of this entry for this time. */
   | { event: "server-pause"; server: string; milliseconds: number }
   | { event: "server-statement-refused"; server: string; detail: string }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -292,8 +292,8 @@
       areReportsExchanged: () => this.#loadExchange.isActive,
       healthPathOf: (service) => this.#router.service(service)?.healthPath,
       onReport: (server) => this.#loadExchange.queueReport(server),
-      onHealthCheck: ({ registration }, head) =>
-        this.#statements.recordAnswer(registration, head, "health-check"),
+      onHealthCheck: (server, head) =>
+        this.#statements.recordHealthCheck(server, head),
       onProbe: () => this.#metrics.incrementCounter("probes"),
     });
     this.#placer = new Placer({
@@ -303,6 +303,8 @@
       costs: TUNING.costs,
       servers: this.#servers,
       prober: this.#prober,
+      warmUpRateOf: (service) =>
+        this.#router.service(service)?.warmUpRequestsPerSecond ?? 0,
     });
     this.#forwarder = new PeerForwarder({
       self: this.#incarnation,
@@ -642,13 +644,10 @@
   }
 
   #metricsText(): string {
-    const { limited, leaving } = this.#servers.restrictedCounts;
     return this.#metrics.text({
       requests_in_progress: this.#inProgress,
       unreached_services: this.#forwarder.cutServices.length,
-      servers: this.#servers.size,
-      limited_servers: limited,
-      leaving_servers: leaving,
+      ...this.#servers.gauges,
       evacuated_domains: this.#discovery.state.evacuatedDomains,
       peers: this.#fleet.members.livePeers().length,
       configuration_version: this.#router.snapshot?.version ?? 0,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -3,6 +3,7 @@
  * scrapers.
  */
 import type { PlacementResult } from "@marigoldford/kernel/placement";
+import type { PlacementInputs } from "./server_attempt.ts";
 import { build, type Histogram } from "hdr-histogram-js";
 
 type Outcome =
@@ -55,6 +56,14 @@
     this.incrementCounter(`placements_${result.replace("-", "_")}`);
   }
 
+  /** Counts an attempt at a server that takes fewer requests than others. */
+  recordAttempt({ requestLimit, isCold }: PlacementInputs): void {
+    if (requestLimit !== undefined) {
+      this.incrementCounter("requests_to_limited_servers");
+    }
+    if (isCold) this.incrementCounter("requests_to_cold_servers");
+  }
+
   incrementCounter(name: string, amount = 1): void {
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
   }
--- a/packages/gateway/src/odd_messages_test.ts
+++ b/packages/gateway/src/odd_messages_test.ts
@@ -56,7 +56,12 @@
     maximumAttempts: 2,
     services: [{ service: "web", weight: 1 }],
   }],
-  services: [{ name: "web", healthPath: "/up", maximumConnections: 10 }],
+  services: [{ name: "web", healthPath: "/up", maximumConnections: 10 }, {
+    name: "api",
+    healthPath: "/up",
+    maximumConnections: 10,
+    warmUpRequestsPerSecond: 1.9,
+  }],
   limits: {
     maximumHeaderBytes: 1_000,
     maximumBodyBytes: 1_000,
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -33,6 +33,8 @@
   };
   readonly servers: ServerTable;
   readonly prober: Prober;
+  /** Requests a second that a cold server takes from the fleet; 0: any. */
+  readonly warmUpRateOf: (service: ServiceName) => number;
 };
 
 type Selection = {
@@ -72,10 +74,21 @@
       assumedOccupancy: staleEstimate === "optimistic"
         ? () => 0
         : reportedOccupancy(servers, now),
+      warmUpRequestsPerSecond: this.#options.warmUpRateOf(service),
       concurrencyLimit: limitWithQueue,
     });
   }
 
+  /**
+   * Uses up the permission for a request to a server. Another request may have
+   * done so since the server was selected.
+   */
+  trySpend(server: ServerLoad): boolean {
+    const { clock, warmUpRateOf } = this.#options;
+    const { service } = server.registration;
+    return server.trySpend(clock(), warmUpRateOf(service));
+  }
+
   /**
    * Connections to open for a probe and the request after it, which may take
    * over the connection of the probe. Where an idle one is left for the
--- a/packages/gateway/src/placer_test.ts
+++ b/packages/gateway/src/placer_test.ts
@@ -45,6 +45,7 @@
       crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
       objectivesPerConnection: 0,
     },
+    warmUpRateOf: () => 0,
     servers: {
       ofService: () => servers,
       find: () => undefined,
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -266,7 +266,6 @@
     const { id } = server.registration;
     if (singleHeader(headers, protocol.headers.serverId) !== id) return;
     server.recordReportedHealth(status === HEALTHY_STATUS);
-    server.recordHealthCheck();
     onHealthCheck(server, head);
     const report = protocol.readLoad(headers);
     if (report === undefined) return server.recordMissingReport();
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -378,7 +378,7 @@
     const { id } = server.registration;
     const known = this.#context.servers.find(id);
     // It may be gone, or another request has used up the permission.
-    if (!known || !server.restrictions.trySpend(this.#context.clock())) {
+    if (!known || !this.#context.placer.trySpend(server)) {
       return void this.#startAttempt(reason);
     }
     this.#launch(placement, known.connections, reason, false);
@@ -430,9 +430,7 @@
       },
     });
     server.recordStart(attempt);
-    if (attempt.placementInputs.requestLimit !== undefined) {
-      this.#context.metrics.incrementCounter("requests_to_limited_servers");
-    }
+    this.#context.metrics.recordAttempt(attempt.placementInputs);
     this.#context.onInFlightChange();
     this.#runningAttempts.add(attempt);
     if (isForward) {
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -140,6 +140,7 @@
         objectivesPerConnection: 0,
       },
       servers: table,
+      warmUpRateOf: () => 0,
       prober: prober as unknown as ConstructorParameters<
         typeof Placer
       >[0]["prober"],
--- a/packages/gateway/src/server_statements.ts
+++ b/packages/gateway/src/server_statements.ts
@@ -10,6 +10,7 @@
 import { limitRank, shareOfLimit } from "@marigoldford/kernel/limit_share";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import type { ServerRegistration } from "@marigoldford/kernel/routing_snapshot";
+import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import {
   type RequestLimit,
   ServerRestrictions,
@@ -175,6 +176,26 @@
     if (isChange || known.isRepeatDue(now)) this.#share(known);
   }
 
+  /**
+   * Records an answer to a health check, which also says whether the server is
+   * cold. Peers learn that from its registration.
+   */
+  recordHealthCheck(server: ServerLoad, head: AnswerHead): void {
+    const { clock, protocol, writeEvent } = this.#options;
+    this.recordAnswer(server.registration, head, "health-check");
+    const { warmUpMilliseconds } = protocol.readStatement(head).statement;
+    if (warmUpMilliseconds === "unreadable") return;
+    const now = clock();
+    const wasCold = server.isCold(now);
+    server.recordHealthCheck(now, warmUpMilliseconds);
+    if (wasCold || !server.isCold(now)) return;
+    writeEvent({
+      event: "server-cold",
+      server: server.registration.id,
+      milliseconds: warmUpMilliseconds ?? 0,
+    });
+  }
+
   /** Entries are asked for pauses one by one, so peers are not told. */
   #recordPause({ run, restrictions }: KnownRun, milliseconds: number): void {
     const { clock, metrics, writeEvent } = this.#options;
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -90,14 +90,20 @@
     return new Set(all.map(({ load }) => load.restrictions));
   }
 
-  /** How many servers have said something that restricts their use. */
-  get restrictedCounts(): { limited: number; leaving: number } {
-    const counts = { limited: 0, leaving: 0 };
-    for (const { load: { restrictions } } of this.#servers.values()) {
-      if (restrictions.requestLimit !== "none") counts.limited += 1;
-      if (restrictions.isLeaving) counts.leaving += 1;
-    }
-    return counts;
+  /** Gauges: how many servers there are, and how many are restricted. */
+  get gauges() {
+    const now = this.#options.clock();
+    const loads = [...this.#servers.values()].map(({ load }) => load);
+    const count = (is: (load: ServerLoad) => boolean) =>
+      loads.filter(is).length;
+    return {
+      servers: loads.length,
+      limited_servers: count(({ restrictions }) =>
+        restrictions.requestLimit !== "none"
+      ),
+      leaving_servers: count(({ restrictions }) => restrictions.isLeaving),
+      cold_servers: count((load) => load.isCold(now)),
+    };
   }
 
   /**
--- a/packages/gateway/src/server_table_test.ts
+++ b/packages/gateway/src/server_table_test.ts
@@ -60,7 +60,7 @@
   expect(register(2)).toBeUndefined();
   const server = evacuate(false);
   expect(server?.isCold(0)).toBe(true);
-  server?.recordHealthCheck();
+  server?.recordHealthCheck(0);
   expect(server?.isCold(0)).toBe(false);
   evacuate(true);
   expect(evacuate(false)?.isCold(0)).toBe(true);
--- a/packages/kernel/src/foreign_state.ts
+++ b/packages/kernel/src/foreign_state.ts
@@ -286,10 +286,12 @@
       readName(fields.name, "name"),
       readPath(fields.healthPath, "healthPath"),
       readAmount(fields.maximumConnections, "maximumConnections"),
-    ]).map(([name, healthPath, maximumConnections]) => ({
+      readOptional(fields, "warmUpRequestsPerSecond", readAmount),
+    ]).map(([name, healthPath, maximumConnections, warmUpRate]) => ({
       name,
       healthPath,
       maximumConnections,
+      ...warmUpRate,
     }))
   );
 }
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -46,6 +46,11 @@
    * Load assumed for servers without a recent report, as a share of their slots.
    */
   readonly assumedOccupancy: (failureDomain: FailureDomain) => number;
+  /**
+   * Requests a second that a cold server takes from all entries together;
+   * missing or 0 if any number.
+   */
+  readonly warmUpRequestsPerSecond?: number;
   /** Maximum number of requests at a server at the same time. */
   readonly concurrencyLimit: ConcurrencyLimit;
 };
@@ -79,8 +84,9 @@
 /**
  * - `full`: each candidate is at its concurrency limit or costs too much to
  *   reach.
- * - `held-back`: what the servers have said of themselves forbids to send any of
- *   them a request for some milliseconds, which may be infinitely many.
+ * - `held-back`: what the servers have said of themselves, or that they warm up,
+ *   forbids to send any of them a request for some milliseconds, which may be
+ *   infinitely many.
  * - `late`: a server has capacity, but none is expected to answer in time.
  * - `unknown`: no server is known to have capacity, and so many are busy that
  *   those without a recent report are probably full as well.
@@ -292,15 +298,18 @@
   request: PlacementRequest,
   context: PlacementContext,
 ): PlacementResult {
-  const { now } = context;
+  const { now, warmUpRequestsPerSecond } = context;
   const inputs = { request, context };
   const untried = servers.filter(({ registration }) =>
     !request.tried.has(registration.id)
   );
   if (untried.length === 0) return { kind: "none" };
   let heldBackMilliseconds = Infinity;
-  const allowed = untried.filter(({ restrictions }) => {
-    const milliseconds = restrictions.millisecondsUntilAllowed(now);
+  const allowed = untried.filter((server) => {
+    const milliseconds = server.millisecondsUntilAllowed(
+      now,
+      warmUpRequestsPerSecond,
+    );
     heldBackMilliseconds = Math.min(heldBackMilliseconds, milliseconds);
     return milliseconds === 0;
   });
--- a/packages/kernel/src/routing_snapshot.ts
+++ b/packages/kernel/src/routing_snapshot.ts
@@ -44,6 +44,11 @@
   readonly name: ServiceName;
   readonly healthPath: string;
   readonly maximumConnections: number;
+  /**
+   * Requests a second that a server which warms up takes from all entries
+   * together; missing or 0 if there is no such limit.
+   */
+  readonly warmUpRequestsPerSecond?: number;
 };
 
 /** Limits on the size of requests and on the time to receive them. */
--- a/packages/kernel/src/server_load.ts
+++ b/packages/kernel/src/server_load.ts
@@ -56,6 +56,8 @@
 const FAILURES_TO_EJECT = 3;
 const MINIMUM_EJECTION_MILLISECONDS = 500;
 const MAXIMUM_EJECTION_MILLISECONDS = 4_000;
+/** A health check says sooner whether the server is cold. */
+const UNKNOWN_WARMTH_MILLISECONDS = 300;
 /** A full server has capacity again after about the time of one request. */
 const REFUSAL_BLOCK_MILLISECONDS = 60;
 
@@ -68,7 +70,9 @@
   #report: TimestampedReport | undefined;
   #isWithoutReports = false;
   #peerCounts = new Map<string, PeerCount>();
+  /** When the server is warm by its registration, and by a health check. */
   #warmAtMilliseconds: number;
+  #statedWarmAtMilliseconds = -Infinity;
   /** Whether the server counts as cold because nothing recent says otherwise. */
   #isWarmthUnknown = false;
   #lastFailureRate = 0;
@@ -123,7 +127,44 @@
   }
 
   isCold(now: number): boolean {
-    return this.#isWarmthUnknown || now < this.#warmAtMilliseconds;
+    return this.#coldMilliseconds(now) > 0;
+  }
+
+  /** How long the server stays cold, as far as is known; 0 if it is warm. */
+  #coldMilliseconds(now: number): number {
+    return Math.max(
+      this.#isWarmthUnknown ? UNKNOWN_WARMTH_MILLISECONDS : 0,
+      this.#warmAtMilliseconds - now,
+      this.#statedWarmAtMilliseconds - now,
+    );
+  }
+
+  /**
+   * Milliseconds until this entry may send the server a request: 0 if it may
+   * now, `Infinity` if that is not foreseeable. While cold, the server takes
+   * `warmUpRequestsPerSecond` from all entries together; 0 is no limit.
+   */
+  millisecondsUntilAllowed(now: number, warmUpRequestsPerSecond = 0): number {
+    const { restrictions } = this;
+    const milliseconds = restrictions.millisecondsUntilAllowed(now);
+    if (warmUpRequestsPerSecond === 0) return milliseconds;
+    const cold = this.#coldMilliseconds(now);
+    const untilToken = restrictions.warmUpLimit.millisecondsUntilAllowed(
+      warmUpRequestsPerSecond,
+      cold > 0,
+      now,
+    );
+    return Math.max(milliseconds, Math.min(cold, untilToken));
+  }
+
+  /** Uses up the permission for one request; returns false if there is none. */
+  trySpend(now: number, warmUpRequestsPerSecond = 0): boolean {
+    if (this.millisecondsUntilAllowed(now, warmUpRequestsPerSecond) > 0) {
+      return false;
+    }
+    const isLimited = warmUpRequestsPerSecond > 0 && this.isCold(now);
+    if (isLimited) this.restrictions.warmUpLimit.spend();
+    return this.restrictions.trySpend(now);
   }
 
   /** Whether the server counts as cold until it is asked. */
@@ -139,9 +180,16 @@
     this.#isWarmthUnknown = true;
   }
 
-  /** Records that the server itself has answered a health check. */
-  recordHealthCheck(): void {
+  /**
+   * Records for how long the server stays cold, as it says in an answer to a
+   * health check, which is newer than any registration. An answer that says
+   * nothing ends only what an earlier one said, as some servers state their
+   * warm-up in registrations alone.
+   */
+  recordHealthCheck(now: number, warmUpMilliseconds?: number): void {
     this.#isWarmthUnknown = false;
+    this.#statedWarmAtMilliseconds = now + (warmUpMilliseconds ?? 0);
+    if (warmUpMilliseconds !== undefined) this.#warmAtMilliseconds = now;
   }
 
   /**
--- a/packages/kernel/src/server_restrictions.ts
+++ b/packages/kernel/src/server_restrictions.ts
@@ -12,6 +12,8 @@
  * time more, and only those that no other server has room for. Nothing takes
  * the statement back: a restart of the server is another run.
  */
+import { TokenBucket } from "./token_bucket.ts";
+import { WarmUpLimit } from "./warm_up_limit.ts";
 
 /**
  * Requests a second that a server takes from all entries together, or `none` if
@@ -27,6 +29,8 @@
   readonly isLeaving: boolean;
   /** How long the server wants no request of this entry; 0 if it takes them. */
   readonly pauseMilliseconds: number;
+  /** In a health check: how long the server stays cold; missing if warm. */
+  readonly warmUpMilliseconds?: number | "unreadable";
 };
 
 /** Requests a second that this entry may send of a server's limit. */
@@ -34,8 +38,6 @@
 
 /** A server that takes nothing is still asked at this rate, in requests/s. */
 const MINIMUM_LIMIT = 0.1;
-/** A share may be saved up for this long, but at least for one request. */
-const SAVED_MILLISECONDS = 250;
 /** A limit is out of date this long after it was said last. */
 const LIMIT_LIFETIME_MILLISECONDS = 10_000;
 /** Small limits are said seldom: they last for this many requests more. */
@@ -49,6 +51,9 @@
 const MILLISECONDS_IN_SECOND = 1_000;
 
 export class ServerRestrictions {
+  /** Bounds the requests while the server is cold. */
+  readonly warmUpLimit: WarmUpLimit;
+  readonly #bucket = new TokenBucket();
   readonly #ownShare: OwnShare;
   /** Uniformly distributed in [0, 1): entries do not try again at once. */
   readonly #spread: number;
@@ -56,8 +61,6 @@
   readonly #leavingUseMilliseconds: number;
   #requestLimit: RequestLimit = "none";
   #limitSaidAtMilliseconds = -Infinity;
-  #tokens = 0;
-  #tokensAtMilliseconds = -Infinity;
   #leavingSinceMilliseconds = Infinity;
   #pausedUntilMilliseconds = -Infinity;
 
@@ -66,6 +69,7 @@
     spread = 0,
     leavingUseMilliseconds = 0,
   ) {
+    this.warmUpLimit = new WarmUpLimit(ownShare, spread);
     this.#ownShare = ownShare;
     this.#spread = spread;
     this.#leavingUseMilliseconds = leavingUseMilliseconds;
@@ -128,8 +132,7 @@
     this.#limitSaidAtMilliseconds = atMilliseconds;
     const previous = this.#requestLimit;
     if (previous === "none" && requestLimit !== "none") {
-      this.#tokens = 0;
-      this.#tokensAtMilliseconds = atMilliseconds;
+      this.#bucket.reset(0, atMilliseconds);
     }
     this.#requestLimit = requestLimit;
     return isNotableChange(previous, requestLimit);
@@ -151,38 +154,26 @@
 
   #millisecondsUntilToken(now: number): number {
     if (this.#requestLimit === "none") return 0;
-    const rate = this.#refill(this.#requestLimit, now);
-    if (this.#tokens >= 1) return 0;
-    return (1 - this.#tokens) * MILLISECONDS_IN_SECOND / rate;
+    const rate = this.#currentRate(this.#requestLimit, now);
+    return this.#bucket.millisecondsUntilToken(rate, now);
   }
 
   /** Uses up the permission for one request; returns false if there is none. */
   trySpend(now: number): boolean {
     if (this.millisecondsUntilAllowed(now) > 0) return false;
-    if (this.#requestLimit !== "none") this.#tokens -= 1;
+    if (this.#requestLimit !== "none") this.#bucket.spend();
     return true;
   }
 
-  /** Adds the requests that became possible; returns how many a second do. */
-  #refill(requestLimit: number, now: number): number {
+  /** Requests a second that this entry may send now. */
+  #currentRate(requestLimit: number, now: number): number {
     const limit = Math.max(MINIMUM_LIMIT, requestLimit);
-    let rate = this.#ownShare(limit);
+    const rate = this.#ownShare(limit);
     const lifetime = this.#lifetimeMilliseconds(limit);
     // Nothing was heard of the limit for long: one request asks again.
-    if (now - this.#limitSaidAtMilliseconds > lifetime) {
-      rate = Math.max(rate, MILLISECONDS_IN_SECOND / lifetime);
-    }
-    const elapsed = Math.max(0, now - this.#tokensAtMilliseconds);
-    this.#tokensAtMilliseconds = now;
-    const capacity = Math.max(
-      1,
-      rate * SAVED_MILLISECONDS / MILLISECONDS_IN_SECOND,
-    );
-    this.#tokens = Math.min(
-      capacity,
-      this.#tokens + elapsed * rate / MILLISECONDS_IN_SECOND,
-    );
-    return rate;
+    return now - this.#limitSaidAtMilliseconds > lifetime
+      ? Math.max(rate, MILLISECONDS_IN_SECOND / lifetime)
+      : rate;
   }
 
   #lifetimeMilliseconds(limit: number): number {
--- a/scripts/check_platform_names.mjs
+++ b/scripts/check_platform_names.mjs
@@ -30,6 +30,8 @@
   "header_timeout_s",
   "idle_timeout_s",
   "warmup_left_s",
+  "warmup_per_s",
+  '"warmup-ms"',
   "ttl_s",
   "grace_s",
   "port_range",
