--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -40,6 +40,8 @@
   readonly prober: Prober;
   /** Whether entries tell each other the loads that they read. */
   readonly areReportsExchanged: () => boolean;
+  /** Requests a second that a cold server takes from the fleet; 0: any. */
+  readonly warmUpRateOf: (service: ServiceName) => number;
 };
 
 /** How the server of a request is searched for. */
@@ -73,12 +75,12 @@
     staleEstimate: StaleEstimate = "mean",
   ): PlacementResult {
     const servers = this.#options.servers.ofService(service);
-    return place(servers, request, this.contextOf(servers, staleEstimate));
+    return place(servers, request, this.contextOf(service, staleEstimate));
   }
 
-  /** What a placement among `servers` now depends on. */
+  /** What a placement among the servers of a service now depends on. */
   contextOf(
-    servers: readonly ServerLoad[],
+    service: ServiceName,
     staleEstimate: StaleEstimate,
   ): PlacementContext {
     const { clock, random, failureDomain } = this.#options;
@@ -96,11 +98,22 @@
       staleEstimate,
       assumedOccupancy: staleEstimate === "optimistic"
         ? () => 0
-        : reportedOccupancy(servers, now),
+        : reportedOccupancy(this.#options.servers.ofService(service), now),
+      warmUpRequestsPerSecond: this.#options.warmUpRateOf(service),
       concurrencyLimit: limitWithQueue,
     };
   }
 
+  /**
+   * Uses up the permission for a request to a server. Another request may have
+   * done so since the server was selected.
+   */
+  trySpend(server: ServerLoad): boolean {
+    const { clock, warmUpRateOf } = this.#options;
+    const { service } = server.registration;
+    return server.trySpend(clock(), warmUpRateOf(service));
+  }
+
   /**
    * Connections to open for a probe and the request after it, which may take
    * over the connection of the probe. In small fleets probes keep their
--- a/packages/gateway/src/route_explanation.ts
+++ b/packages/gateway/src/route_explanation.ts
@@ -207,7 +207,7 @@
  */
 function explainChoice(
   servers: readonly ServerLoad[],
-  { context: { placer, services }, route }: ServiceInputs,
+  { context: { placer, services }, route, service }: ServiceInputs,
 ): { placement: PlacementExplanation; probed?: ServerLoad } {
   const estimates = services.peekEstimatesOf(route);
   const request: PlacementRequest = {
@@ -228,7 +228,7 @@
     explainPlacement(
       servers,
       request,
-      placer.contextOf(servers, staleEstimate),
+      placer.contextOf(service, staleEstimate),
     );
   const optimistic = explain("optimistic");
   if (optimistic.result.kind !== "placed") {
--- a/packages/gateway/src/route_explanation_test.ts
+++ b/packages/gateway/src/route_explanation_test.ts
@@ -78,6 +78,7 @@
     },
     servers: { ...servers, find: () => undefined } as never,
     areReportsExchanged: () => true,
+    warmUpRateOf: () => 0,
     prober: {
       isConnected: () => true,
       probeForRequest: () => probes++,
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -48,6 +48,8 @@
   readonly #options: ServerTableOptions;
   readonly #servers = new Map<string, UsableServer>();
   readonly #idleLimits = new Map<ServiceName, IdleLimit>();
+  /** Servers that are registered as ready in an evacuated failure domain. */
+  #evacuated: ReadonlySet<string> = new Set();
   #byService = new Map<ServiceName, ServerLoad[]>();
   #byTag = new Map<number, UsableServer>();
 
@@ -88,25 +90,41 @@
     return new Set(all.map(({ load }) => load.restrictions));
   }
 
-  /** How many servers have said something that restricts their use. */
-  get restrictedCounts(): { limited: number; leaving: number } {
-    const counts = { limited: 0, leaving: 0 };
-    for (const { load: { restrictions } } of this.#servers.values()) {
-      if (restrictions.requestLimit !== "none") counts.limited += 1;
-      if (restrictions.isLeaving) counts.leaving += 1;
-    }
-    return counts;
+  /** Gauges: how many servers there are, and how many are restricted. */
+  get gauges() {
+    const now = this.#options.clock();
+    const loads = [...this.#servers.values()].map(({ load }) => load);
+    const count = (is: (load: ServerLoad) => boolean) =>
+      loads.filter(is).length;
+    return {
+      servers: loads.length,
+      limited_servers: count(({ restrictions }) =>
+        restrictions.requestLimit !== "none"
+      ),
+      leaving_servers: count(({ restrictions }) => restrictions.isLeaving),
+      cold_servers: count((load) => load.isCold(now)),
+    };
   }
 
-  /** Updates the table to the discovered backend servers. */
+  /**
+   * Updates the table to the discovered backend servers. One that comes back
+   * after an evacuation may be cold without its registration saying so yet.
+   */
   sync(state: DiscoveryState): void {
     const now = this.#options.clock();
     const usable = new Set<string>();
+    const evacuated = new Set<string>();
     for (const [id, { registration }] of state.records) {
       if (registration.state !== "ready") continue;
+      if (state.isEvacuated(registration.failureDomain)) {
+        evacuated.add(id);
+        continue;
+      }
       usable.add(id);
       this.#addOrUpdate(registration, now);
+      if (this.#evacuated.has(id)) this.#servers.get(id)?.load.forgetWarmth();
     }
+    this.#evacuated = evacuated;
     for (const id of this.#servers.keys()) {
       if (!usable.has(id)) this.#remove(id);
     }
--- a/packages/gateway/src/slot_exchange.ts
+++ b/packages/gateway/src/slot_exchange.ts
@@ -232,7 +232,7 @@
 
   #hasRoom(server: ServerLoad): boolean {
     const now = this.#options.clock();
-    return !server.isBlocked(now) &&
+    return !server.isBlocked(now) && !server.isCold(now) &&
       server.restrictions.millisecondsUntilAllowed(now) === 0 &&
       server.load(now) < limitOfHighestThroughput(server.slots);
   }
--- a/packages/kernel/src/placement_explanation.ts
+++ b/packages/kernel/src/placement_explanation.ts
@@ -161,7 +161,10 @@
       context,
     ),
     score: placementScore(server, request, context),
-    heldBackMilliseconds: server.restrictions.millisecondsUntilAllowed(now),
+    heldBackMilliseconds: server.millisecondsUntilAllowed(
+      now,
+      context.warmUpRequestsPerSecond,
+    ),
   };
 }
 
