--- a/packages/gateway/src/datagram_socket.ts
+++ b/packages/gateway/src/datagram_socket.ts
@@ -12,12 +12,14 @@
   type FleetDatagram,
   type MessageUnreadable,
 } from "./fleet_messages.ts";
+import type { OnSent } from "./traffic_meter.ts";
 
 export type DatagramSocketOptions = {
   readonly address: Address;
   readonly onDatagram: (datagram: FleetDatagram, sender: Address) => void;
   readonly onUnreadable: (sender: Address, error: MessageUnreadable) => void;
   readonly onSendFailure: (to: Address) => void;
+  readonly onSent?: OnSent;
 };
 
 export class DatagramSocket {
@@ -54,7 +56,10 @@
   send(to: readonly Address[], datagram: FleetDatagram): void {
     if (to.length === 0) return;
     const bytes = encodeDatagram(datagram);
-    for (const address of to) this.#sendTo(address, bytes);
+    for (const address of to) {
+      this.#sendTo(address, bytes);
+      this.#options.onSent?.(datagram.kind, address, bytes.byteLength);
+    }
   }
 
   #sendTo(address: Address, bytes: Buffer): void {
--- a/packages/gateway/src/discovery_exchange.ts
+++ b/packages/gateway/src/discovery_exchange.ts
@@ -4,6 +4,7 @@
  * and requests the whole state of a peer where changes are missing.
  */
 import { splitAddress } from "@marigoldford/kernel/address";
+import { announcementReceivers } from "@marigoldford/kernel/announcement_receivers";
 import {
   comparePositions,
   positionOf,
@@ -24,7 +25,11 @@
 import { peersInDomain, receiversInOtherDomains } from "./domain_relays.ts";
 import type { Aged, MessageClock } from "./message_clock.ts";
 import type { WriteEvent } from "./events.ts";
-import type { DiscoveryFreshness, FleetFrame } from "./fleet_messages.ts";
+import type {
+  DiscoveryFreshness,
+  FleetDatagram,
+  FleetFrame,
+} from "./fleet_messages.ts";
 import type { FrameConnections, FrameReply } from "./frame_connections.ts";
 
 export type DiscoveryExchangeOptions = {
@@ -42,16 +47,23 @@
 };
 
 type UpdateFrame = Extract<FleetFrame, { kind: "update" }>;
+type FreshnessDatagram = Extract<FleetDatagram, { kind: "news" }>;
 
 const LISTING_REQUEST_INTERVAL_MILLISECONDS = 200;
 /** Entries of another failure domain that get changes without a relay. */
 const MAXIMUM_DIRECT_RECEIVERS = 8;
+/**
+ * Relays of freshness in each other failure domain. One of them may be dead;
+ * with an old state all entries of the domain would call the service.
+ */
+const FRESHNESS_RELAYS = 2;
 
 export class DiscoveryExchange {
   readonly #options: DiscoveryExchangeOptions;
   readonly #missingRevision: MissingRevision;
   readonly #snapshots = new SnapshotHistory();
   #listingRequestedAt = -Infinity;
+  #freshnessSent = 0;
 
   constructor(options: DiscoveryExchangeOptions) {
     this.#options = options;
@@ -67,13 +79,7 @@
   sendUpdate(update: DiscoveryUpdate): void {
     const { self, failureDomain } = this.#options;
     const peers = this.#options.peers();
-    if (update.changes.length === 0) {
-      this.#options.datagramSocket.send(
-        peers.map(({ datagramAddress }) => datagramAddress),
-        { kind: "news", from: self, news: this.freshness() },
-      );
-      return;
-    }
+    if (update.changes.length === 0) return this.#sendFreshness(peers);
     const frame = {
       kind: "update",
       ...this.#compact(update),
@@ -90,12 +96,56 @@
     this.#sendFrame(others.relays, { ...frame, isForDomain: true });
   }
 
-  /** Records how fresh the state of a peer is, which may be ahead. */
-  receiveFreshness(freshness: DiscoveryFreshness, sender: Address): void {
+  #sendFreshness(peers: readonly MemberRecord[]): void {
+    const { self, failureDomain } = this.#options;
+    this.#freshnessSent += 1;
+    const { direct, relays } = announcementReceivers(peers, {
+      from: self,
+      failureDomain,
+      sequence: this.#freshnessSent,
+      relaysPerDomain: FRESHNESS_RELAYS,
+    });
+    const news = this.freshness();
+    this.#sendDatagram(direct, { kind: "news", from: self, news });
+    this.#sendDatagram(relays, {
+      kind: "news",
+      from: self,
+      news,
+      isForDomain: true,
+    });
+  }
+
+  /** Records how fresh the state of a watching peer is, and forwards it. */
+  receiveFreshnessDatagram(
+    { from, news, isForDomain }: FreshnessDatagram,
+    sender: Address,
+  ): void {
+    const ageMilliseconds = this.receiveFreshness(news, sender);
+    if (!isForDomain) return;
+    const { self, peers, failureDomain, messageClock } = this.#options;
+    const receivers = peersInDomain(peers(), failureDomain).filter((peer) =>
+      peer.incarnation !== from
+    );
+    this.#sendDatagram(receivers, {
+      kind: "news",
+      from: self,
+      news: {
+        ...news,
+        ageMilliseconds: Math.min(ageMilliseconds, Number.MAX_SAFE_INTEGER),
+        departure: messageClock.departure(),
+      },
+    });
+  }
+
+  /**
+   * Records how fresh the state of a peer is, which may be ahead; returns the
+   * age of that state.
+   */
+  receiveFreshness(freshness: DiscoveryFreshness, sender: Address): number {
     const { discovery, meshAddress, frameConnections } = this.#options;
     const ageMilliseconds = this.#options.messageClock.ageOnArrival(freshness);
     if (discovery.recordPeerFreshness({ ...freshness, ageMilliseconds })) {
-      return;
+      return ageMilliseconds;
     }
     const { port } = splitAddress(meshAddress);
     const { host } = splitAddress(sender);
@@ -105,6 +155,7 @@
       () =>
         frameConnections.send([`${host}:${port}`], { kind: "reading-request" }),
     );
+    return ageMilliseconds;
   }
 
   receiveFrame(frame: FleetFrame, reply: FrameReply): void {
@@ -203,6 +254,16 @@
     });
   }
 
+  #sendDatagram(
+    to: readonly MemberRecord[],
+    datagram: FreshnessDatagram,
+  ): void {
+    this.#options.datagramSocket.send(
+      to.map(({ datagramAddress }) => datagramAddress),
+      datagram,
+    );
+  }
+
   #sendFrame(to: readonly MemberRecord[], frame: FleetFrame): void {
     this.#options.frameConnections.send(
       to.map(({ meshAddress }) => meshAddress),
--- a/packages/gateway/src/fleet_membership.ts
+++ b/packages/gateway/src/fleet_membership.ts
@@ -1,24 +1,35 @@
 /**
  * Gossip-based membership of the fleet.
  *
- * In each interval an entry sends heartbeats to one random peer of its own
- * failure domain and to one random peer of the whole fleet, so that its
- * traffic does not grow with the fleet. Full member records are sent while
- * they are recent, and on request. An entry sends changes of its own state to
- * all peers at once.
+ * In each interval an entry sends heartbeats to one or two random peers, so
+ * that its traffic does not grow with the fleet; `gossip_targets.ts` bounds how
+ * much of it leaves the failure domain. Full member records are sent while they
+ * are recent, and on request. An entry announces changes of its own state to
+ * the peers of its failure domain at once, and to the others through relays.
  */
+import { Buffer } from "node:buffer";
+import { announcementReceivers } from "@marigoldford/kernel/announcement_receivers";
 import {
   FleetMembers,
   type MemberRecord,
   type MembershipChange,
 } from "@marigoldford/kernel/fleet_members";
+import {
+  gossipTargets,
+  isSmallFleet,
+  seedsToAsk,
+  SMALL_FLEET_ENTRIES,
+} from "@marigoldford/kernel/gossip_targets";
+import { tagsToRequest } from "@marigoldford/kernel/record_requests";
 import type {
   Address,
   Clock,
   EntryState,
+  FailureDomain,
   RandomSource,
 } from "@marigoldford/kernel/types";
 import type { DatagramSocket } from "./datagram_socket.ts";
+import { peersInDomain } from "./domain_relays.ts";
 import type { WriteEvent } from "./events.ts";
 import type { DiscoveryFreshness, FleetDatagram } from "./fleet_messages.ts";
 import { decodeHeartbeats, encodeHeartbeats } from "./heartbeat_codec.ts";
@@ -48,10 +59,10 @@
 const SEED_INTERVAL_ROUNDS = 8;
 /** Several gossip rounds; it may be long, as callers retry elsewhere sooner. */
 const MINIMUM_FAILURE_TIMEOUT_MILLISECONDS = 2_500;
-/** Heartbeats per datagram; they fill half of a typical packet. */
-const MAXIMUM_HEARTBEATS = 64;
-/** Up to this size a change reaches every entry within a few rounds. */
-const SMALL_FLEET_ENTRIES = 18;
+/** Heartbeats beside as many records as possible: half of a typical packet. */
+const MINIMUM_HEARTBEATS = 64;
+/** Heartbeats that take the place of a record that is not sent. */
+const HEARTBEATS_PER_RECORD = 20;
 /** In larger fleets each doubling adds some rounds. */
 const FAILURE_TIMEOUT_PER_DOUBLING_MILLISECONDS = 1_200;
 const REMOVAL_MILLISECONDS = 12_000;
@@ -65,6 +76,10 @@
 const MAXIMUM_REQUESTED_RECORDS = 8;
 /** A leaving entry repeats its message, as datagrams may be lost. */
 const LEAVE_MESSAGES = 3;
+/** Relays of an announcement in each failure domain, as one may be dead. */
+const RELAYS = 2;
+/** Relays of the end of an entry, which callers must not be sent to any more. */
+const LEAVE_RELAYS = 3;
 
 function failureTimeoutMilliseconds(fleetSize: number): number {
   const doublings = Math.max(0, Math.log2(fleetSize / SMALL_FLEET_ENTRIES));
@@ -105,19 +120,45 @@
     clearTimeout(this.#timer);
   }
 
-  /** Enters a state and announces it to every peer. */
+  /** Enters a state and announces it to the fleet. */
   enterState(state: EntryState): void {
     this.#state = state;
     this.#counter += 1;
-    const addresses = this.members.livePeers().map((peer) =>
-      peer.datagramAddress
-    );
-    const repeats = state === "leaving" || state === "stopped"
-      ? LEAVE_MESSAGES
-      : 1;
+    const isEnd = state === "leaving" || state === "stopped";
+    const repeats = isEnd ? LEAVE_MESSAGES : 1;
+    const peers = this.members.livePeers();
+    const { incarnation, failureDomain } = this.#options.self;
+    const { direct, relays } = announcementReceivers(peers, {
+      from: incarnation,
+      failureDomain,
+      sequence: this.#counter,
+      relaysPerDomain: isEnd ? LEAVE_RELAYS : RELAYS,
+      hasOwnRelays: !isEnd,
+    });
+    const records = [this.#ownRecord()];
     for (let count = 0; count < repeats; count++) {
-      this.#send(addresses, [this.#ownRecord()], false);
+      if (isSmallFleet(peers)) {
+        this.#send(addressesOf(direct), records, false);
+      } else this.#sendAlone(addressesOf(direct), records, false);
     }
+    this.#sendAlone(addressesOf(relays), records, true);
+  }
+
+  /** Sends records without the heartbeats of other members. */
+  #sendAlone(
+    to: readonly Address[],
+    records: readonly MemberRecord[],
+    isForDomain: boolean,
+  ): void {
+    this.#options.socket.send(to, {
+      kind: "members",
+      from: this.#options.self.incarnation,
+      records,
+      heartbeats: Buffer.alloc(0),
+      news: this.#options.discoveryFreshness(),
+      wantsReply: false,
+      isForDomain,
+    });
   }
 
   receive(datagram: MembersDatagram, sender: Address): void {
@@ -127,14 +168,30 @@
     this.#logChanges(merged.changes);
     this.#requestRecords(merged.unknownTags, sender);
     if (datagram.wantsReply) this.#send([sender], this.#recentRecords(), false);
+    if (datagram.isForDomain) this.#forward(datagram);
+  }
+
+  #forward({ from, records }: MembersDatagram): void {
+    const { failureDomain } = this.#options.self;
+    const peers = peersInDomain(this.members.livePeers(), failureDomain);
+    const receivers = peers.filter(({ incarnation }) => incarnation !== from);
+    const forwarded = records.slice(0, MAXIMUM_RECORDS);
+    this.#sendAlone(addressesOf(receivers), forwarded, false);
   }
 
   /** Sends the records of members that the sender does not know. */
   sendRecords({ tags }: RecordRequestDatagram, sender: Address): void {
     const records = this.members.recordsOf(tags);
+    const peers = this.members.livePeers();
+    const { failureDomain } = this.#options.self;
+    const isNear = isSmallFleet(peers) ||
+      peers.some((peer) =>
+        peer.datagramAddress === sender && peer.failureDomain === failureDomain
+      );
     for (let at = 0; at < records.length; at += MAXIMUM_REQUESTED_RECORDS) {
       const part = records.slice(at, at + MAXIMUM_REQUESTED_RECORDS);
-      this.#send([sender], part, false);
+      if (isNear) this.#send([sender], part, false);
+      else this.#sendAlone([sender], part, false);
     }
   }
 
@@ -144,8 +201,16 @@
     for (const [tag, sentAt] of this.#requested) {
       if (now - sentAt > RECORD_RETRY_MILLISECONDS) this.#requested.delete(tag);
     }
-    const tags = unknownTags.filter((tag) => !this.#requested.has(tag));
-    if (tags.length === 0) return;
+    const wanted = unknownTags.filter((tag) => !this.#requested.has(tag));
+    if (wanted.length === 0) return;
+    const peers = this.members.livePeers();
+    const tags = tagsToRequest({
+      unknownTags: wanted,
+      teller: peers.find((peer) => peer.datagramAddress === sender),
+      failureDomain: this.#options.self.failureDomain,
+      peers,
+      random: this.#options.random,
+    });
     for (const tag of tags) this.#requested.set(tag, now);
     this.#options.socket.send([sender], {
       kind: "who",
@@ -168,8 +233,15 @@
     this.#logChanges(this.members.expireMembers());
     const peers = this.members.livePeers();
     const isAlone = peers.length === 0;
-    if (isAlone || this.#round % SEED_INTERVAL_ROUNDS === 0) this.#askSeeds();
-    this.#send(this.#pickPeers(peers), this.#recentRecords(), false);
+    if (isAlone || this.#round % SEED_INTERVAL_ROUNDS === 0) {
+      this.#askSeeds(peers);
+    }
+    const { random, self: { failureDomain } } = this.#options;
+    const targets = gossipTargets({ failureDomain, peers, random });
+    const records = this.#recentRecords();
+    if (isSmallFleet(peers)) {
+      this.#send(addressesOf(targets), records, false);
+    } else for (const target of targets) this.#sendGossip(target, records);
     const pause = isAlone
       ? SEED_RETRY_INTERVAL_MILLISECONDS
       : GOSSIP_INTERVAL_MILLISECONDS;
@@ -177,24 +249,21 @@
     this.#timer = setTimeout(() => this.#gossip(), pause * jitter);
   }
 
-  #askSeeds(): void {
-    const own = this.#options.self.datagramAddress;
-    const seeds = this.#options.seeds().filter((seed) => seed !== own);
-    this.#send(seeds, [this.#ownRecord()], true);
+  /** Members of another failure domain know their own domain best. */
+  #sendGossip(
+    { datagramAddress, failureDomain }: MemberRecord,
+    records: readonly MemberRecord[],
+  ): void {
+    const isOwn = failureDomain === this.#options.self.failureDomain;
+    const except = isOwn ? undefined : failureDomain;
+    this.#send([datagramAddress], records, false, except);
   }
 
-  #pickPeers(peers: readonly MemberRecord[]): Address[] {
-    const domain = this.#options.self.failureDomain;
-    const sameDomain = peers.filter(({ failureDomain }) =>
-      failureDomain === domain
-    );
-    const picked = new Set<Address>();
-    for (const group of [sameDomain, peers]) {
-      if (group.length === 0) continue;
-      const index = Math.floor(this.#options.random() * group.length);
-      picked.add(group[index].datagramAddress);
-    }
-    return [...picked];
+  #askSeeds(peers: readonly MemberRecord[]): void {
+    const { seeds, random, self: { datagramAddress } } = this.#options;
+    const others = seeds().filter((seed) => seed !== datagramAddress);
+    const asked = seedsToAsk({ seeds: others, peers, random });
+    this.#send(asked, [this.#ownRecord()], true);
   }
 
   /** The own record, then the most recently changed ones. */
@@ -210,14 +279,19 @@
     to: readonly Address[],
     records: readonly MemberRecord[],
     wantsReply: boolean,
+    except?: FailureDomain,
   ): void {
+    const recordsLeft = Math.max(0, MAXIMUM_RECORDS - records.length);
+    const heartbeats = this.members.heartbeatsToSend(
+      MINIMUM_HEARTBEATS + recordsLeft * HEARTBEATS_PER_RECORD,
+      this.#options.random,
+      except,
+    );
     this.#options.socket.send(to, {
       kind: "members",
       from: this.#options.self.incarnation,
       records,
-      heartbeats: encodeHeartbeats(
-        this.members.heartbeatsToSend(MAXIMUM_HEARTBEATS, this.#options.random),
-      ),
+      heartbeats: encodeHeartbeats(heartbeats),
       news: this.#options.discoveryFreshness(),
       wantsReply,
     });
@@ -234,3 +308,7 @@
     }
   }
 }
+
+function addressesOf(members: readonly MemberRecord[]): Address[] {
+  return members.map(({ datagramAddress }) => datagramAddress);
+}
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -87,6 +87,11 @@
     readonly news: DiscoveryFreshness;
     /** Whether the receiver is to reply with the members it knows. */
     readonly wantsReply: boolean;
+    /**
+     * Whether the receiver forwards the records to the peers of its failure
+     * domain. Earlier builds neither tell nor do it.
+     */
+    readonly isForDomain?: boolean;
   }
   | {
     /** Requests the records of members that the sender does not know. */
@@ -98,6 +103,11 @@
     readonly kind: "news";
     readonly from: string;
     readonly news: DiscoveryFreshness;
+    /**
+     * Whether the receiver forwards it to the peers of its failure domain.
+     * Earlier builds neither tell nor do it.
+     */
+    readonly isForDomain?: boolean;
   }
   | {
     readonly kind: "load";
@@ -127,6 +137,11 @@
     readonly asks?: readonly string[];
     /** The findings that the receiver has asked for. */
     readonly findings?: readonly SharedFinding[];
+    /**
+     * Whether the receiver forwards it to the peers of its failure domain.
+     * Earlier builds neither tell nor do it.
+     */
+    readonly isForDomain?: boolean;
   }
   | {
     readonly kind: "crash";
@@ -288,17 +303,22 @@
         readUsable(message.records, "records", readMemberRecord, onIgnored),
         readBytes(message.heartbeats, "heartbeats"),
         readFreshness(message.news),
-      ]).map(([records, heartbeats, news]) => ({
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map(([records, heartbeats, news, isForDomain]) => ({
         records,
         heartbeats,
         news,
         wantsReply: message.wantsReply === true,
+        ...isForDomain,
       }));
     case "who":
       return readUsable(message.tags, "tags", readTag, onIgnored)
         .map((tags) => ({ tags }));
     case "news":
-      return readFreshness(message.news).map((news) => ({ news }));
+      return Result.combine([
+        readFreshness(message.news),
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map(([news, isForDomain]) => ({ news, ...isForDomain }));
     case "load":
       return Result.combine([
         readBytes(message.inFlight, "inFlight"),
@@ -333,10 +353,12 @@
           "findings",
           (value, path) => readUsable(value, path, readFinding, onIgnored),
         ),
-      ]).map(([unreached, asks, findings]) => ({
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map(([unreached, asks, findings, isForDomain]) => ({
         unreached,
         ...asks,
         ...findings,
+        ...isForDomain,
       }));
     case "crash":
       return Result.combine([
--- a/packages/gateway/src/frame_connections.ts
+++ b/packages/gateway/src/frame_connections.ts
@@ -16,6 +16,7 @@
   type FleetFrame,
 } from "./fleet_messages.ts";
 import { listenAt } from "./listen.ts";
+import type { OnSent } from "./traffic_meter.ts";
 
 export type FrameReply = (frame: FleetFrame) => void;
 
@@ -24,6 +25,7 @@
   readonly idleMilliseconds: number;
   readonly onFrame: (frame: FleetFrame, reply: FrameReply) => void;
   readonly onRefused: (peer: string, detail: string) => void;
+  readonly onSent?: OnSent;
 };
 
 /** A connection to a slow peer is destroyed when it has more bytes buffered. */
@@ -51,7 +53,9 @@
   send(to: readonly Address[], frame: FleetFrame): void {
     if (to.length === 0) return;
     const bytes = encodeFrame(encodeFleetFrame(frame));
-    for (const address of to) this.#write(this.#connectionTo(address), bytes);
+    for (const address of to) {
+      this.#write(this.#connectionTo(address), address, bytes);
+    }
   }
 
   close(): void {
@@ -93,7 +97,10 @@
         if (frame.isErr()) return this.#reject(socket, frame.error.detail);
         this.#options.onFrame(
           frame.value,
-          (reply) => this.#write(socket, encodeFrame(encodeFleetFrame(reply))),
+          (reply) => {
+            const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+            this.#write(socket, peer, encodeFrame(encodeFleetFrame(reply)));
+          },
         );
       }
     });
@@ -104,12 +111,13 @@
     socket.destroy();
   }
 
-  #write(socket: Socket, bytes: Buffer): void {
+  #write(socket: Socket, to: Address, bytes: Buffer): void {
     if (socket.destroyed) return;
     if (socket.writableLength > MAXIMUM_BUFFERED_BYTES) {
       socket.destroy();
       return;
     }
     socket.write(bytes);
+    this.#options.onSent?.("frame", to, bytes.byteLength);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,6 @@
 import * as Data from "effect/Data";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
-import { splitAddress } from "@marigoldford/kernel/address";
 import type { DiscoveryChange } from "@marigoldford/kernel/discovery_state";
 import { entriesForCaller } from "@marigoldford/kernel/entries_for_caller";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
@@ -43,11 +42,14 @@
 import { PeerForwarder } from "./peer_forwarder.ts";
 import { Placer } from "./placer.ts";
 import { Prober } from "./prober.ts";
+import { seedDatagramAddresses } from "./seed_addresses.ts";
 import { ServerConnections } from "./server_connections.ts";
 import { ServerInquiry } from "./server_inquiry.ts";
 import { ServerStatements } from "./server_statements.ts";
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
+import { stateValidityMilliseconds } from "./state_validity.ts";
+import { TrafficMeter } from "./traffic_meter.ts";
 import { TUNING } from "./tuning.ts";
 import { WallClock } from "./wall_clock.ts";
 import "./metrics_server.ts";
@@ -69,11 +71,6 @@
 /** Also the interval at which statements of servers that are gone expire. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5_000;
 const MILLISECONDS_IN_SECOND = 1_000;
-/**
- * Time from the decision on a request to its arrival at a server: probes, a
- * connection that is opened, and other work of the entry.
- */
-const DECISION_MILLISECONDS = 400;
 /** Time from the exit of the process to the end of the grace period. */
 const EXIT_MARGIN_MILLISECONDS = 500;
 /**
@@ -142,18 +139,6 @@
   readonly writeEvent: WriteEvent;
 };
 
-/** How old a state may be for a request that is decided by it in time. */
-function validityMilliseconds({ bounds }: GatewayOptions): number {
-  const seconds = Math.min(
-    bounds.configurationEffectSeconds,
-    bounds.leavingEffectSeconds,
-  );
-  return Math.max(
-    TUNING.discovery.maximumStateAgeMilliseconds,
-    seconds * MILLISECONDS_IN_SECOND - DECISION_MILLISECONDS,
-  );
-}
-
 class Gateway {
   readonly #options: GatewayOptions;
   readonly #writeEvent: WriteEvent;
@@ -161,6 +146,7 @@
   readonly #clock = () => performance.now();
   readonly #incarnation = randomBytes(6).toString("hex");
   readonly #metrics = new GatewayMetrics();
+  readonly #traffic: TrafficMeter;
   readonly #router = new SnapshotRouter(Math.random);
   readonly #services: ServiceStates;
   readonly #messageClock: MessageClock;
@@ -196,6 +182,12 @@
     this.#readSeeds = dependencies.readSeeds;
     const clock = this.#clock;
     const { instance } = options;
+    this.#traffic = new TrafficMeter({
+      clock,
+      failureDomain: instance.failureDomain,
+      peers: () => this.#fleet.members.livePeers(),
+      metrics: this.#metrics,
+    });
     this.#servers = new ServerTable({
       clock,
       ...TUNING.connections,
@@ -203,6 +195,7 @@
         this.#prober.takeConnection(registration),
       restrictionsOf: (registration) =>
         this.#statements.restrictionsOf(registration),
+      onTransferred: this.#traffic.recordTransferred,
     });
     this.#pauseDetector = new PauseDetector(
       clock,
@@ -213,11 +206,13 @@
       onDatagram: (datagram, sender) => this.#onDatagram(datagram, sender),
       onUnreadable: (peer, { detail }) => this.#logRefusedMessage(peer, detail),
       onSendFailure: () => this.#metrics.incrementCounter("datagrams_unsent"),
+      onSent: this.#traffic.recordSent,
     });
     this.#frameConnections = new FrameConnections({
       listenAddress: instance.meshAddress,
       idleMilliseconds: TUNING.meshIdleTimeoutMilliseconds,
       onFrame: (frame, reply) => this.#exchange.receiveFrame(frame, reply),
+      onSent: this.#traffic.recordSent,
       onRefused: (peer, detail) => this.#logRefusedMessage(peer, detail),
     });
     this.#fleet = this.#makeFleet();
@@ -243,7 +238,7 @@
       random: Math.random,
       settings: {
         ...TUNING.discovery,
-        validityMilliseconds: validityMilliseconds(options),
+        validityMilliseconds: stateValidityMilliseconds(options),
       },
       self: this.#incarnation,
       eligibleWatchers: () =>
@@ -294,6 +289,7 @@
       onHealthCheck: ({ registration }, head) =>
         this.#statements.recordAnswer(registration, head, "health-check"),
       onProbe: () => this.#metrics.incrementCounter("probes"),
+      onTransferred: this.#traffic.recordTransferred,
     });
     this.#placer = new Placer({
       clock,
@@ -466,7 +462,8 @@
         datagramAddress: instance.datagramAddress,
         failureDomain: instance.failureDomain,
       },
-      seeds: () => this.#seedDatagramAddresses(),
+      seeds: () =>
+        seedDatagramAddresses(this.#readSeeds(), instance.datagramAddress),
       socket: this.#datagramSocket,
       discoveryFreshness: () => this.#exchange.freshness(),
       writeEvent: this.#writeEvent,
@@ -483,17 +480,6 @@
     );
   }
 
-  /**
-   * Datagram addresses of the seeds, which the settings give as mesh addresses;
-   * every entry uses the same ports.
-   */
-  #seedDatagramAddresses(): Address[] {
-    const { port } = splitAddress(this.#options.instance.datagramAddress);
-    return this.#readSeeds().map((seed) =>
-      `${splitAddress(seed).host}:${port}`
-    );
-  }
-
   #makeAuxiliaryServers(): AuxiliaryServer[] {
     const view = {
       isReady: () => this.#fleet.state === "serving",
@@ -605,7 +591,7 @@
         this.#fleet.sendRecords(datagram, sender);
         return;
       case "news":
-        this.#exchange.receiveFreshness(datagram.news, sender);
+        this.#exchange.receiveFreshnessDatagram(datagram, sender);
         return;
       case "load":
         this.#loadExchange.receive(datagram);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,9 @@
   | "cut"
   | "caller-left";
 
+/** Failure domain of the other end; unknown if no member has its address. */
+export type TrafficDomain = "own" | "other" | "unknown";
+
 const PERCENTILES = [50, 90, 99, 99.9];
 const HIGHEST_MILLISECONDS = 60_000;
 const PREFIX = "marigoldford";
@@ -24,6 +27,8 @@
   readonly #outcomes = new Map<Outcome, number>();
   readonly #attemptFailures = new Map<string, number>();
   readonly #counters = new Map<string, number>();
+  /** By name and labels. */
+  readonly #bytes = new Map<string, number>();
   readonly #latency = new Map<string, Histogram>();
 
   recordAnswer(
@@ -59,6 +64,24 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
   }
 
+  recordPeerBytes(message: string, domain: TrafficDomain, bytes: number): void {
+    const labels = `message="${message}",domain="${domain}"`;
+    this.#addBytes(`peer_bytes_sent_total{${labels}}`, bytes);
+  }
+
+  recordServerBytes(
+    content: string,
+    domain: TrafficDomain,
+    bytes: number,
+  ): void {
+    const labels = `content="${content}",domain="${domain}"`;
+    this.#addBytes(`server_bytes_total{${labels}}`, bytes);
+  }
+
+  #addBytes(series: string, bytes: number): void {
+    this.#bytes.set(series, (this.#bytes.get(series) ?? 0) + bytes);
+  }
+
   /** The metrics page, with the given gauges. */
   text(gauges: Readonly<Record<string, number>>): string {
     const lines: string[] = [];
@@ -73,6 +96,9 @@
     for (const [name, count] of this.#counters) {
       lines.push(`${PREFIX}_${name}_total ${count}`);
     }
+    for (const [series, bytes] of this.#bytes) {
+      lines.push(`${PREFIX}_${series} ${bytes}`);
+    }
     for (const [name, value] of Object.entries(gauges)) {
       lines.push(`${PREFIX}_${name} ${value}`);
     }
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -7,6 +7,7 @@
  * intervals until one is reached again.
  */
 import { splitAddress } from "@marigoldford/kernel/address";
+import { announcementReceivers } from "@marigoldford/kernel/announcement_receivers";
 import type { MemberRecord } from "@marigoldford/kernel/fleet_members";
 import { choosePeer } from "@marigoldford/kernel/peer_choice";
 import type { Placement } from "@marigoldford/kernel/placement";
@@ -20,6 +21,7 @@
   ServiceName,
 } from "@marigoldford/kernel/types";
 import type { DatagramSocket } from "./datagram_socket.ts";
+import { peersInDomain } from "./domain_relays.ts";
 import type { WriteEvent } from "./events.ts";
 import type { FleetDatagram } from "./fleet_messages.ts";
 import type { Prober } from "./prober.ts";
@@ -66,6 +68,8 @@
 const TELL_INTERVAL_MILLISECONDS = 400;
 /** What a peer told counts this long, in case datagrams are lost. */
 const TOLD_MILLISECONDS = 1_500;
+/** Relays in each other failure domain, as one may be dead. */
+const TOLD_RELAYS = 2;
 /** Peers have no slots; `peer_choice.ts` bounds what each gets. */
 const PEER_SLOTS = 1_000;
 
@@ -76,6 +80,7 @@
   readonly #unreached = new Map<ServiceName, Reach>();
   #turn = 0;
   #toldAtMilliseconds = -Infinity;
+  #toldCount = 0;
   #timer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: PeerForwarderOptions) {
@@ -140,11 +145,17 @@
     };
   }
 
-  /** Records which services a peer does not reach. */
-  receive({ from, unreached }: ReachDatagram): void {
-    const atMilliseconds = this.#options.clock();
+  /** Records which services a peer does not reach, and forwards it. */
+  receive({ from, unreached, isForDomain }: ReachDatagram): void {
+    const { clock, peers, failureDomain } = this.#options;
+    const atMilliseconds = clock();
     if (unreached.length === 0) this.#told.delete(from);
     else this.#told.set(from, { services: new Set(unreached), atMilliseconds });
+    if (!isForDomain) return;
+    const receivers = peersInDomain(peers(), failureDomain).filter((peer) =>
+      peer.incarnation !== from
+    );
+    this.#send(receivers, { kind: "reach", from, unreached });
   }
 
   #find(record: MemberRecord, service: ServiceName): KnownPeer {
@@ -219,13 +230,27 @@
     });
   }
 
-  /** Tells all peers which services this entry does not reach. */
+  /** Tells the fleet which services this entry does not reach. */
   #tell(): void {
-    const { self, peers, socket, clock } = this.#options;
+    const { self, failureDomain, peers, clock } = this.#options;
     this.#toldAtMilliseconds = clock();
-    socket.send(
-      peers().map(({ datagramAddress }) => datagramAddress),
-      { kind: "reach", from: self, unreached: this.cutServices },
+    this.#toldCount += 1;
+    const { direct, relays } = announcementReceivers(peers(), {
+      from: self,
+      failureDomain,
+      sequence: this.#toldCount,
+      relaysPerDomain: TOLD_RELAYS,
+    });
+    const unreached = this.cutServices;
+    const told = { kind: "reach", from: self, unreached } as const;
+    this.#send(direct, told);
+    this.#send(relays, { ...told, isForDomain: true });
+  }
+
+  #send(to: readonly MemberRecord[], datagram: ReachDatagram): void {
+    this.#options.socket.send(
+      to.map(({ datagramAddress }) => datagramAddress),
+      datagram,
     );
   }
 
--- a/packages/gateway/src/probe_connection.ts
+++ b/packages/gateway/src/probe_connection.ts
@@ -16,6 +16,9 @@
 /** `undefined`: the connection broke or the answer was malformed. */
 export type ProbeAnswer = AnswerHead | undefined;
 
+/** Is told of bytes that were sent or received. */
+export type OnBytes = (bytes: number) => void;
+
 type ProbeCallback = (answer: ProbeAnswer) => void;
 
 /** A connection that answered this recently was not dropped by the server. */
@@ -38,10 +41,12 @@
   #bodyBytesLeft = 0;
   #answeredAtMilliseconds = -Infinity;
   readonly #clock: Clock;
+  readonly #onBytes: OnBytes;
 
-  constructor(address: Address, clock: Clock) {
+  constructor(address: Address, clock: Clock, onBytes: OnBytes = () => {}) {
     this.address = address;
     this.#clock = clock;
+    this.#onBytes = onBytes;
   }
 
   get isOpen(): boolean {
@@ -54,9 +59,9 @@
     return new Promise((resolve) => {
       this.#pending = resolve;
       this.#socket ??= this.#open();
-      this.#socket.write(
-        `GET ${path} HTTP/1.1\r\nHost: ${this.address}\r\n\r\n`,
-      );
+      const request = `GET ${path} HTTP/1.1\r\nHost: ${this.address}\r\n\r\n`;
+      this.#socket.write(request);
+      this.#onBytes(request.length);
     });
   }
 
@@ -115,6 +120,7 @@
   }
 
   #onData(chunk: Buffer): void {
+    this.#onBytes(chunk.byteLength);
     if (this.#pending === undefined) return this.#skipBody(chunk.byteLength);
     this.#received += chunk.toString("latin1");
     const end = this.#received.indexOf(HEAD_END);
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -22,6 +22,7 @@
 import type { AnswerHead } from "./answer_head.ts";
 import { type CallerProtocol, singleHeader } from "./caller_protocol.ts";
 import { ProbeConnection } from "./probe_connection.ts";
+import type { OnTransferred } from "./traffic_meter.ts";
 import type { ServerTable } from "./server_table.ts";
 
 export type ProberSettings = {
@@ -55,6 +56,7 @@
   /** Is told the head of a health check that the server itself answered. */
   readonly onHealthCheck: (server: ServerLoad, head: AnswerHead) => void;
   readonly onProbe: () => void;
+  readonly onTransferred?: OnTransferred;
   readonly reach: ServerReach;
 };
 
@@ -143,14 +145,14 @@
 
   /** Probes a server on a new connection, without regard to the budget. */
   async check(server: ServerLoad): Promise<ProbeResult> {
-    const { address, service } = server.registration;
+    const { service } = server.registration;
     const { healthPathOf, clock, onProbe } = this.#options;
     const path = healthPathOf(service);
     if (path === undefined || server.restrictions.isPaused(clock())) {
       return "unasked";
     }
     onProbe();
-    const connection = new ProbeConnection(address, clock);
+    const connection = this.#makeConnection(server);
     const result = await this.#getInTime(connection, path);
     connection.close();
     return typeof result === "string" ? result : "answered";
@@ -217,13 +219,21 @@
     }
   }
 
-  #connectionTo(
-    { registration: { id, address } }: ServerLoad,
-  ): ProbeConnection {
+  #makeConnection({ registration }: ServerLoad): ProbeConnection {
+    const { clock, onTransferred } = this.#options;
+    return new ProbeConnection(
+      registration.address,
+      clock,
+      (bytes) => onTransferred?.("probe", registration, bytes),
+    );
+  }
+
+  #connectionTo(server: ServerLoad): ProbeConnection {
+    const { id, address } = server.registration;
     let connection = this.#connections.get(id);
     if (connection?.address === address) return connection;
     connection?.close();
-    connection = new ProbeConnection(address, this.#options.clock);
+    connection = this.#makeConnection(server);
     this.#connections.set(id, connection);
     return connection;
   }
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -20,6 +20,8 @@
   readonly idleLimit: IdleLimit;
   /** An open connection to the server that nothing else uses, if any. */
   readonly takeConnection: () => Socket | undefined;
+  /** Bytes of a request and its answer, when both have ended. */
+  readonly onTransferred?: (bytes: number) => void;
 };
 
 type IdlePeriod = {
@@ -31,6 +33,13 @@
 /** How long the connection of the current request was idle before it. */
 const IDLE_BEFORE_REQUEST = new WeakMap<Socket, number>();
 
+/** Bytes of a connection that belong to earlier requests or probes. */
+const COUNTED_BYTES = new WeakMap<Socket, number>();
+
+function bytesOf({ bytesRead, bytesWritten }: Socket): number {
+  return bytesRead + bytesWritten;
+}
+
 const FAILED_SOCKETS = new WeakSet<Socket>();
 /** Connections on which the server has already answered something. */
 const USED_SOCKETS = new WeakSet<Socket>();
@@ -91,6 +100,8 @@
     if (taken !== undefined) USED_SOCKETS.add(taken);
     const socket = taken ?? this.#openConnection(parameters);
     if (socket === undefined) return undefined;
+    COUNTED_BYTES.set(socket, bytesOf(socket));
+    socket.once("close", () => this.#countBytes(socket));
     // Records whether the connection ends by an error, such as a reset.
     socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
     return socket;
@@ -150,6 +161,7 @@
   /** Called by Node when a request has ended and its socket may be reused. */
   override keepSocketAlive(socket: Socket): boolean {
     USED_SOCKETS.add(socket);
+    this.#countBytes(socket);
     if (this.#isDraining || socket.destroyed) return false;
     // Node returns false if the server closes at once; its types omit that.
     if (super.keepSocketAlive(socket) as unknown === false) return false;
@@ -166,6 +178,13 @@
     return true;
   }
 
+  #countBytes(socket: Socket): void {
+    const bytes = bytesOf(socket);
+    const counted = COUNTED_BYTES.get(socket) ?? 0;
+    COUNTED_BYTES.set(socket, bytes);
+    if (bytes > counted) this.#options.onTransferred?.(bytes - counted);
+  }
+
   /** Called by Node when an idle socket gets its next request. */
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     super.reuseSocket(socket, request);
--- a/packages/gateway/src/server_table.ts
+++ b/packages/gateway/src/server_table.ts
@@ -11,6 +11,7 @@
 import type { Address, ServiceName } from "@marigoldford/kernel/types";
 import { ServerConnections } from "./server_connections.ts";
 import { shortTag } from "./short_tag.ts";
+import type { OnTransferred } from "./traffic_meter.ts";
 
 export type UsableServer = {
   readonly load: ServerLoad;
@@ -32,6 +33,7 @@
   readonly restrictionsOf: (
     registration: ServerRegistration,
   ) => ServerRestrictions;
+  readonly onTransferred?: OnTransferred;
 };
 
 /**
@@ -143,6 +145,8 @@
         ...this.#options,
         idleLimit: this.#idleLimitOf(registration.service),
         takeConnection: () => this.#options.takeConnection(registration),
+        onTransferred: (bytes) =>
+          this.#options.onTransferred?.("request", registration, bytes),
       }),
       tag: shortTag(registration.id),
     });
--- a/packages/kernel/src/fleet_members.ts
+++ b/packages/kernel/src/fleet_members.ts
@@ -17,6 +17,12 @@
 /** Share of the sent heartbeats that are the most recent ones. */
 const MOST_RECENT_SHARE = 0.5;
 
+/**
+ * A removed member is remembered for this long. Where its last heartbeat arrives
+ * late, others still pass it on, and it must not count as a new member.
+ */
+const REMEMBERED_MILLISECONDS = 60_000;
+
 /** The list of live peers is used for each request and message. */
 const LIVE_PEERS_MILLISECONDS = 100;
 
@@ -55,6 +61,11 @@
   isLost: boolean;
 };
 
+type RemovedMember = {
+  readonly counter: number;
+  readonly removedAtMilliseconds: number;
+};
+
 export type FleetMembersOptions = {
   readonly clock: Clock;
   readonly self: () => MemberRecord;
@@ -80,6 +91,7 @@
 export class FleetMembers {
   readonly #options: FleetMembersOptions;
   readonly #known = new Map<number, KnownMember>();
+  readonly #removed = new Map<number, RemovedMember>();
   readonly #ownTag: number;
   #livePeers: MemberRecord[] = [];
   /** When the list of live peers must be made again. */
@@ -100,7 +112,7 @@
       if (tag === this.#ownTag) continue;
       const known = this.#known.get(tag);
       if (known !== undefined) changes.push(...this.#update(known, record));
-      else changes.push(this.#join(tag, record));
+      else if (this.#isNews(tag, record)) changes.push(this.#join(tag, record));
     }
     return changes;
   }
@@ -115,7 +127,8 @@
       if (tag === this.#ownTag) continue;
       const known = this.#known.get(tag);
       if (known === undefined) {
-        if (state !== "stopped") unknownTags.push(tag);
+        const isNews = this.#isNews(tag, { counter });
+        if (state !== "stopped" && isNews) unknownTags.push(tag);
       } else {
         changes.push(...this.#update(known, { counter, state }));
       }
@@ -123,8 +136,14 @@
     return { changes, unknownTags };
   }
 
+  /** Whether an unknown member was not removed with this counter. */
+  #isNews(tag: number, { counter }: Pick<MemberRecord, "counter">): boolean {
+    return counter > (this.#removed.get(tag)?.counter ?? -1);
+  }
+
   #join(tag: number, record: MemberRecord): MembershipChange {
     const now = this.#options.clock();
+    this.#removed.delete(tag);
     this.#known.set(tag, {
       record,
       tag,
@@ -188,13 +207,20 @@
 
   /**
    * This entry's heartbeat, the most recent ones of peers, and a random choice
-   * of the others, which a peer may not know yet.
+   * of the others, which a peer may not know yet. Those of the failure domain
+   * `except` are left out.
    */
-  heartbeatsToSend(count: number, random: RandomSource): MemberHeartbeat[] {
+  heartbeatsToSend(
+    count: number,
+    random: RandomSource,
+    except?: FailureDomain,
+  ): MemberHeartbeat[] {
     const { counter, state } = this.#options.self();
-    const peers = [...this.#livePeersByAddress().values()].sort((left, right) =>
-      right.seenAtMilliseconds - left.seenAtMilliseconds
-    );
+    const peers = [...this.#livePeersByAddress().values()]
+      .filter(({ record }) => record.failureDomain !== except)
+      .sort((left, right) =>
+        right.seenAtMilliseconds - left.seenAtMilliseconds
+      );
     const selected = peers.splice(0, Math.ceil(count * MOST_RECENT_SHARE) - 1);
     while (selected.length < count - 1 && peers.length > 0) {
       const index = Math.floor(random() * peers.length);
@@ -254,12 +280,19 @@
     const changes: MembershipChange[] = [];
     for (const [tag, known] of this.#known) {
       const silence = now - known.seenAtMilliseconds;
-      if (silence > this.#options.removalMilliseconds) this.#known.delete(tag);
-      else if (silence > failureTimeout && !known.isLost) {
+      if (silence > this.#options.removalMilliseconds) {
+        this.#known.delete(tag);
+        const { counter } = known.record;
+        this.#removed.set(tag, { counter, removedAtMilliseconds: now });
+      } else if (silence > failureTimeout && !known.isLost) {
         known.isLost = true;
         changes.push({ kind: "lost", record: known.record });
       }
     }
+    for (const [tag, { removedAtMilliseconds }] of this.#removed) {
+      const elapsed = now - removedAtMilliseconds;
+      if (elapsed > REMEMBERED_MILLISECONDS) this.#removed.delete(tag);
+    }
     this.#entryCount = this.#countEntries();
     return changes;
   }
--- a/packages/kernel/src/fleet_members_test.ts
+++ b/packages/kernel/src/fleet_members_test.ts
@@ -45,6 +45,21 @@
     expect(members.expireMembers().map(({ kind }) => kind)).toEqual(["lost"]);
   });
 
+  it("does not take a removed peer for a new one when its last heartbeat comes late", () => {
+    const { time, members } = setUp();
+    members.mergeRecords([PEER]);
+    time.now = 11_000;
+    members.expireMembers();
+    const { tag, counter, state } = { ...PEER, tag: PEER.incarnation.length };
+    const late = members.mergeHeartbeats([{ tag, counter, state }]);
+    expect(late.unknownTags).toEqual([]);
+    expect(members.mergeRecords([PEER])).toEqual([]);
+    const alive = members.mergeHeartbeats([{ tag, counter: 2, state }]);
+    expect(alive.unknownTags).toEqual([tag]);
+    members.mergeRecords([{ ...PEER, counter: 2 }]);
+    expect(members.livePeers()).toHaveLength(1);
+  });
+
   it("replaces a process by the next one at the same address", () => {
     const { members } = setUp();
     members.mergeRecords([PEER]);
