--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -97,6 +97,11 @@
     readonly evacuations?: readonly ToldEvacuation[];
     /** Whether the receiver is to reply with the members it knows. */
     readonly wantsReply: boolean;
+    /**
+     * Whether the receiver forwards the records to the peers of its failure
+     * domain. Earlier builds neither tell nor do it.
+     */
+    readonly isForDomain?: boolean;
   }
   | {
     /** Requests the records of members that the sender does not know. */
@@ -108,6 +113,11 @@
     readonly kind: "news";
     readonly from: string;
     readonly news: DiscoveryFreshness;
+    /**
+     * Whether the receiver forwards it to the peers of its failure domain.
+     * Earlier builds neither tell nor do it.
+     */
+    readonly isForDomain?: boolean;
   }
   | {
     readonly kind: "load";
@@ -137,6 +147,11 @@
     readonly asks?: readonly string[];
     /** The findings that the receiver has asked for. */
     readonly findings?: readonly SharedFinding[];
+    /**
+     * Whether the receiver forwards it to the peers of its failure domain.
+     * Earlier builds neither tell nor do it.
+     */
+    readonly isForDomain?: boolean;
   }
   | {
     readonly kind: "crash";
@@ -306,18 +321,23 @@
           "evacuations",
           (value, path) => readUsable(value, path, readEvacuation, onIgnored),
         ),
-      ]).map(([records, heartbeats, news, evacuations]) => ({
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map(([records, heartbeats, news, evacuations, isForDomain]) => ({
         records,
         heartbeats,
         news,
         ...evacuations,
         wantsReply: message.wantsReply === true,
+        ...isForDomain,
       }));
     case "who":
       return readUsable(message.tags, "tags", readTag, onIgnored)
         .map((tags) => ({ tags }));
     case "news":
-      return readFreshness(message.news).map((news) => ({ news }));
+      return Result.combine([
+        readFreshness(message.news),
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map(([news, isForDomain]) => ({ news, ...isForDomain }));
     case "load":
       return Result.combine([
         readBytes(message.inFlight, "inFlight"),
@@ -352,10 +372,12 @@
           "findings",
           (value, path) => readUsable(value, path, readFinding, onIgnored),
         ),
-      ]).map(([unreached, asks, findings]) => ({
+        readOptional(message, "isForDomain", readBoolean),
+      ]).map(([unreached, asks, findings, isForDomain]) => ({
         unreached,
         ...asks,
         ...findings,
+        ...isForDomain,
       }));
     case "crash":
       return Result.combine([
