--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -52,6 +52,8 @@
 
 /** Unchanged in-flight counts are resent after this, as datagrams get lost. */
 const REPEAT_MILLISECONDS = 400;
+/** How long it is taken for unchanged whether messages are sent. */
+const ACTIVE_MILLISECONDS = 200;
 /** Timers fire up to a millisecond early. */
 const TIMER_TOLERANCE_MILLISECONDS = 2;
 
@@ -65,6 +67,9 @@
   #crossDomainSentAt = -Infinity;
   #hasUnsentCrossDomainChange = false;
   #sameDomainSentAt = -Infinity;
+  /** Each placement asks; the answer changes with the size of the fleet. */
+  #isActive = true;
+  #isActiveUntilMilliseconds = -Infinity;
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
@@ -72,7 +77,12 @@
 
   /** Whether peers in the own failure domain get reports of this entry. */
   get isActive(): boolean {
-    return this.#sameDomainInterval() !== undefined;
+    const now = this.#options.clock();
+    if (now >= this.#isActiveUntilMilliseconds) {
+      this.#isActiveUntilMilliseconds = now + ACTIVE_MILLISECONDS;
+      this.#isActive = this.#sameDomainInterval() !== undefined;
+    }
+    return this.#isActive;
   }
 
   start(): void {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -6,6 +6,7 @@
   isPlacedBlindly,
   maximumProbes,
   needsLoadProbe,
+  probesInRound,
 } from "@marigoldford/kernel/load_probe";
 import {
   type CrossDomainCost,
@@ -35,6 +36,8 @@
     readonly crossDomainCost: CrossDomainCost;
     /** Cost of opening a connection, in latency objectives. */
     readonly objectivesPerConnection: number;
+    /** The same in a fleet that is too large to exchange load reports. */
+    readonly objectivesPerConnectionInLargeFleet: number;
   };
   readonly servers: ServerTable;
   readonly prober: Prober;
@@ -83,17 +86,20 @@
     service: ServiceName,
     staleEstimate: StaleEstimate,
   ): PlacementContext {
-    const { clock, random, failureDomain } = this.#options;
-    const { crossDomainCost, objectivesPerConnection } = this.#options.costs;
+    const { clock, random, failureDomain, costs } = this.#options;
     const now = clock();
+    const areReportsExchanged = this.#options.areReportsExchanged();
     return {
       now,
       random,
       ownFailureDomain: failureDomain,
-      crossDomainCost,
+      crossDomainCost: costs.crossDomainCost,
       connectionCost: {
-        connectionsToOpen: (server) => this.#connectionsToOpen(server),
-        objectivesPerConnection,
+        connectionsToOpen: (server) =>
+          this.#connectionsToOpen(server, areReportsExchanged),
+        objectivesPerConnection: areReportsExchanged
+          ? costs.objectivesPerConnection
+          : costs.objectivesPerConnectionInLargeFleet,
       },
       staleEstimate,
       assumedOccupancy: staleEstimate === "optimistic"
@@ -120,11 +126,14 @@
    * connections: where an idle one is left for the request, the next probe opens
    * another.
    */
-  #connectionsToOpen({ registration: { id } }: ServerLoad): number {
-    const { prober, servers, areReportsExchanged } = this.#options;
+  #connectionsToOpen(
+    { registration: { id } }: ServerLoad,
+    areReportsExchanged: boolean,
+  ): number {
+    const { prober, servers } = this.#options;
     if (prober.isConnected(id)) return 0;
     if (!servers.find(id)?.connections.hasIdle) return 1;
-    return areReportsExchanged() ? 0.5 : 0;
+    return areReportsExchanged ? 0.5 : 0;
   }
 
   /**
@@ -138,8 +147,8 @@
   }
 
   /**
-   * Selects the best server after probing the best candidates: one in the first
-   * round, and one more in each further round.
+   * Selects the best server after probing the best candidates, more of them at
+   * once in each round.
    */
   async chooseAfterProbing(
     service: ServiceName,
@@ -164,7 +173,8 @@
         remainingMilliseconds: search.remainingMilliseconds(),
       });
       if (!mustProbe) break;
-      probesSent += await this.#probeBest(selection, round);
+      const probes = probesInRound(round, areReportsExchanged);
+      probesSent += await this.#probeBest(selection, probes);
     }
     const result = this.choose(service, { ...request, tried: excluded });
     // If none is left, servers that did not answer a probe are allowed again.
@@ -258,12 +268,14 @@
         }),
       );
     }
+    if (probes.length === 1) await probes[0];
+    if (probes.length <= 1) return 1;
     const found = probes.map(async (probe) => {
       await probe;
       if (!this.#hasFreshCandidate(selection)) throw new Error("not found");
     });
     await Promise.any(found).catch(() => {});
-    return Math.max(1, probes.length);
+    return probes.length;
   }
 
   #hasFreshCandidate(selection: Selection): boolean {
--- a/packages/gateway/src/placer_test.ts
+++ b/packages/gateway/src/placer_test.ts
@@ -44,6 +44,7 @@
     costs: {
       crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
       objectivesPerConnection: 0,
+      objectivesPerConnectionInLargeFleet: 0,
     },
     warmUpRateOf: () => 0,
     servers: {
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -138,6 +138,7 @@
       costs: {
         crossDomainCost: { roundTripMilliseconds: 1, objectivesPerMegabyte: 1 },
         objectivesPerConnection: 0,
+        objectivesPerConnectionInLargeFleet: 0,
       },
       servers: table,
       warmUpRateOf: () => 0,
--- a/packages/gateway/src/route_explanation_test.ts
+++ b/packages/gateway/src/route_explanation_test.ts
@@ -75,6 +75,7 @@
     costs: {
       crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
       objectivesPerConnection: 0,
+      objectivesPerConnectionInLargeFleet: 0,
     },
     servers: { ...servers, find: () => undefined } as never,
     areReportsExchanged: () => true,
--- a/packages/gateway/src/tuning.ts
+++ b/packages/gateway/src/tuning.ts
@@ -21,6 +21,11 @@
     crossDomainCost: { roundTripMilliseconds: 3, objectivesPerMegabyte: 25 },
     /** Prefers connected servers among those that are about as fast. */
     objectivesPerConnection: 0.02,
+    /**
+     * An entry with few requests then keeps to some servers while these have
+     * room, and its connections to them do not expire between two requests.
+     */
+    objectivesPerConnectionInLargeFleet: 0.08,
   },
   probe: {
     /** Three failed probes eject a dead server in about a second. */
--- a/packages/kernel/src/load_probe.ts
+++ b/packages/kernel/src/load_probe.ts
@@ -53,6 +53,17 @@
   return hasWaited ? MAXIMUM_PROBES_OF_QUEUED : MAXIMUM_PROBES_WITHOUT_EXCHANGE;
 }
 
+/**
+ * Servers to probe at once in a round, from 1. In a large fleet single probes
+ * come first: most find room, and each takes processor time.
+ */
+export function probesInRound(
+  round: number,
+  areReportsExchanged: boolean,
+): number {
+  return areReportsExchanged ? round : Math.max(1, round - 1);
+}
+
 /**
  * Whether a request is better queued than sent to the selected server: its load
  * is only assumed, although servers answer probes. A third of the servers may
--- a/packages/kernel/src/placement.ts
+++ b/packages/kernel/src/placement.ts
@@ -309,31 +309,30 @@
 ): PlacementResult {
   const { now, warmUpRequestsPerSecond } = context;
   const inputs = { request, context };
-  const untried = servers.filter(({ registration }) =>
-    !request.tried.has(registration.id)
-  );
-  if (untried.length === 0) return { kind: "none" };
+  let isUntried = false;
   let heldBackMilliseconds = Infinity;
-  const allowed = untried.filter((server) => {
+  const unblocked: ServerLoad[] = [];
+  const blocked: ServerLoad[] = [];
+  for (const server of servers) {
+    if (request.tried.has(server.registration.id)) continue;
+    isUntried = true;
     const milliseconds = server.millisecondsUntilAllowed(
       now,
       warmUpRequestsPerSecond,
     );
     heldBackMilliseconds = Math.min(heldBackMilliseconds, milliseconds);
-    return milliseconds === 0;
-  });
-  if (allowed.length === 0) {
+    if (milliseconds > 0) continue;
+    if (server.isBlocked(now)) blocked.push(server);
+    else unblocked.push(server);
+  }
+  if (!isUntried) return { kind: "none" };
+  const candidates = unblocked.length > 0 ? unblocked : blocked;
+  if (candidates.length === 0) {
     return { kind: "held-back", milliseconds: heldBackMilliseconds };
   }
-  const unblocked = allowed.filter((server) => !server.isBlocked(now));
-  const candidates = unblocked.length > 0 ? unblocked : allowed;
-  const staying = candidates.filter(({ restrictions }) =>
-    !restrictions.isLeaving
-  );
-  const leaving = candidates.filter(({ restrictions }) =>
-    restrictions.isLeaving
-  );
-  if (leaving.length === 0) return selectBest(staying, inputs);
+  const leaving = candidates.filter(isLeaving);
+  if (leaving.length === 0) return selectBest(candidates, inputs);
+  const staying = candidates.filter((server) => !isLeaving(server));
   const placedElsewhere = selectBest(staying, inputs);
   if (placedElsewhere.kind === "placed") return placedElsewhere;
   const placed = selectBest(leaving, inputs);
@@ -342,6 +341,10 @@
     : placedElsewhere;
 }
 
+function isLeaving({ restrictions }: ServerLoad): boolean {
+  return restrictions.isLeaving;
+}
+
 /** Requests at a server up to which another one may be sent. */
 export function usableSlots(limit: number, use: SlotUse): number {
   return use === "spare" ? Math.max(1, limit - 1) : limit;
