--- a/packages/gateway/src/failure.ts
+++ b/packages/gateway/src/failure.ts
@@ -3,7 +3,10 @@
  * the cause, and when to retry. What a failed attempt says of its server.
  */
 import type { AttemptEvidence } from "@marigoldford/kernel/attempt_outcome";
-import type { ServerOutcome } from "@marigoldford/kernel/server_load";
+import type {
+  ServerLoad,
+  ServerOutcome,
+} from "@marigoldford/kernel/server_load";
 import type { RefusalCause } from "./admission.ts";
 
 /** `Retry-After` when no backend server could run the request. */
@@ -56,6 +59,28 @@
   }
 }
 
+/**
+ * Whether the server may have crashed while it ran the request: the connection
+ * broke, or neither an answer nor a load report has come since the request was
+ * sent. A server that loses its machine falls silent without closing anything.
+ */
+export function mayHaveCrashedServer(
+  { kind }: AttemptEvidence,
+  { isForward, timeToHeadMilliseconds, elapsedMilliseconds, server, now }: {
+    /** Whether a peer was to send the request on. */
+    readonly isForward: boolean;
+    readonly timeToHeadMilliseconds: number | undefined;
+    readonly elapsedMilliseconds: number;
+    readonly server: Pick<ServerLoad, "reportAgeMilliseconds">;
+    readonly now: number;
+  },
+): boolean {
+  if (isForward) return false;
+  const isSilent = timeToHeadMilliseconds === undefined &&
+    server.reportAgeMilliseconds(now) > elapsedMilliseconds;
+  return kind === "broken" || kind === "timed-out" && isSilent;
+}
+
 /** What a failed attempt says of the health of its server. */
 export function serverOutcomeOf(
   evidence: AttemptEvidence,
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -46,6 +46,7 @@
 import {
   causeOf,
   evidenceOfPeer,
+  mayHaveCrashedServer,
   retryAfterSeconds,
   serverOutcomeOf,
 } from "./failure.ts";
@@ -608,16 +609,16 @@
     if (evidence.kind === "unusable-answer") {
       this.#lastUnusableReason = evidence.why;
     }
-    if (this.#hasEnded) {
-      if (evidence.kind === "broken" && !attempt.isForward) {
-        void this.#checkForCrash(attempt);
-      }
-      return;
+    if (!this.#hasEnded && this.#writer.hasSentHead) {
+      return this.#abortAnswer(attempt);
     }
-    if (this.#writer.hasSentHead) return this.#abortAnswer(attempt);
-    if (evidence.kind === "broken" && !attempt.isForward) {
-      void this.#checkForCrash(attempt).then(() => this.#retryOrFail(evidence));
-    } else this.#retryOrFail(evidence);
+    const judged = mayHaveCrashedServer(evidence, attempt)
+      ? this.#checkForCrash(attempt)
+      : undefined;
+    if (this.#hasEnded) return;
+    if (judged === undefined || evidence.kind === "timed-out") {
+      this.#retryOrFail(evidence);
+    } else void judged.then(() => this.#retryOrFail(evidence));
   }
 
   /** Records what a failed attempt says of the way to the servers. */
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -220,6 +220,10 @@
       : undefined;
   }
 
+  get now(): number {
+    return this.#options.clock();
+  }
+
   get elapsedMilliseconds(): number {
     return this.#options.clock() - this.startedAtMilliseconds;
   }
