--- a/packages/client/src/http_client.ts
+++ b/packages/client/src/http_client.ts
@@ -5,6 +5,7 @@
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { readAnswer } from "@marigoldford/http_answers/read_answer";
+import { isValidStatus } from "@marigoldford/http_answers/valid_status";
 import { splitAddress } from "@marigoldford/kernel/address";
 import type { Address } from "@marigoldford/kernel/types";
 
@@ -76,6 +77,10 @@
       });
       clientRequest.once("error", fail);
       clientRequest.once("response", async (response) => {
+        if (!isValidStatus(response.statusCode)) {
+          response.destroy();
+          return fail(new Error(`Invalid status ${response.statusCode}`));
+        }
         const body = await readAnswer(response, MAXIMUM_ANSWER_BYTES);
         if (body.isErr()) return fail(new Error(body.error.detail));
         clearTimeout(timer);
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -13,6 +13,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
+import { isValidStatus } from "@marigoldford/http_answers/valid_status";
 import type {
   AttemptEnd,
   BackendServerState,
@@ -182,6 +183,10 @@
 
   #receive(response: IncomingMessage): void {
     if (this.#end !== undefined) return;
+    if (!isValidStatus(response.statusCode)) {
+      response.destroy();
+      return this.#fail();
+    }
     this.#hasHead = true;
     const status = response.statusCode ?? 0;
     const signals = readBackendSignals(status, response.headers);
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -16,6 +16,7 @@
 import type { ServerLoad } from "@marigoldford/kernel/server_load";
 import { discardAnswer } from "@marigoldford/http_answers/discard_answer";
 import { limitBytesBeforeAnswer } from "@marigoldford/http_answers/head_limit";
+import { isValidStatus } from "@marigoldford/http_answers/valid_status";
 import { type CallerProtocol, headerValue } from "./caller_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
 import {
@@ -133,15 +134,13 @@
     headers["transfer-encoding"] !== undefined;
 }
 
-const MINIMUM_FINAL_STATUS = 200;
 /** Characters that Node's parser accepts there, but its server rejects. */
 const MALFORMED_REASON = /[^\t\x20-\x7e\x80-\xff]/;
 
 function hasMalformedStatusLine(
-  { statusCode = 0, statusMessage = "" }: IncomingMessage,
+  { statusCode, statusMessage = "" }: IncomingMessage,
 ): boolean {
-  return statusCode < MINIMUM_FINAL_STATUS ||
-    MALFORMED_REASON.test(statusMessage);
+  return !isValidStatus(statusCode) || MALFORMED_REASON.test(statusMessage);
 }
 
 type AttemptPhase = "connecting" | "sent" | "buffering" | "streaming" | "ended";
@@ -177,6 +176,8 @@
       headers: options.headers,
       setHost: false,
     });
+    // By default, Node drops header lines of the answer after the first 1,000.
+    this.#request.maxHeadersCount = 0;
     this.#addListeners();
     this.#sendBody();
   }
--- a/packages/stand_ins/src/backend_behaviour.ts
+++ b/packages/stand_ins/src/backend_behaviour.ts
@@ -14,6 +14,8 @@
   slowdown: number;
   /** Share of calls answered at once with status 500. */
   failShare: number;
+  /** Three digits that calls are answered with at once; none if empty. */
+  rawStatus: string;
   isLeaving: boolean;
   /** Reports `leaving` at the health endpoint only; calls still run. */
   isLeavingQuietly: boolean;
@@ -56,6 +58,7 @@
   distribution: "fixed",
   slowdown: 1,
   failShare: 0,
+  rawStatus: "",
   isLeaving: false,
   isLeavingQuietly: false,
   isHealthMisleading: false,
--- a/packages/stand_ins/src/backend_stand_in.ts
+++ b/packages/stand_ins/src/backend_stand_in.ts
@@ -106,6 +106,13 @@
       return this.#crash(request);
     }
     if (behaviour.isLeaving) return this.#refuse(response, "leaving");
+    if (behaviour.rawStatus !== "") {
+      const { rawStatus } = behaviour;
+      request.socket.write(
+        `HTTP/1.1 ${rawStatus} \r\nContent-Length: 3\r\n\r\nodd`,
+      );
+      return;
+    }
     if (Math.random() < behaviour.failShare) {
       response.statusCode = 500;
       this.#setReportHeaders(response);
