--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -71,7 +71,9 @@
     });
   }
   const { maximumHeaderBytes, maximumBodyBytes } = router.snapshot.limits;
-  if (headBytes(request) > maximumHeaderBytes) {
+  // The headers that a peer adds may exceed the limit, which it has checked.
+  const isCaller = context.origin === "caller";
+  if (isCaller && headBytes(request) > maximumHeaderBytes) {
     return err({ status: 431, cause: "head-too-large" });
   }
   if (MALFORMED_PATH.test(request.url ?? "/")) {
--- a/packages/gateway/src/call_server.ts
+++ b/packages/gateway/src/call_server.ts
@@ -6,14 +6,18 @@
 import { setImmediate, setTimeout as sleep } from "node:timers/promises";
 import type { RequestLimits } from "@marigoldford/kernel/routing_snapshot";
 import type { Address, Clock } from "@marigoldford/kernel/types";
+import { AnswerWriter } from "./answer_writer.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import { listenAt } from "./listen.ts";
 import { RequestExchange } from "./request_exchange.ts";
 
+/** Bounds the memory of a request head until a configuration is known. */
+const MAXIMUM_HEADER_BYTES = 128 * 1024;
 /**
- * Bounds the memory of a request head; the configuration sets a lower limit.
+ * Node closes the connection of a larger head; smaller ones than this multiple
+ * of the configured limit are answered with 431.
  */
-const MAXIMUM_HEADER_BYTES = 128 * 1024;
+const MAXIMUM_HEADER_MULTIPLE = 2;
 /**
  * Callers reuse connections for most of the idle timeout and never past it; the
  * entry closes them this much later.
@@ -23,6 +27,8 @@
 const DEFAULT_KEEP_ALIVE_MILLISECONDS = 60_000;
 const DRAIN_CHECK_INTERVAL_MILLISECONDS = 25;
 const LISTEN_BACKLOG = 1_024;
+/** As for requests that a starting entry refuses. */
+const REFUSAL_RETRY_AFTER_SECONDS = "0.5";
 
 export class CallServer {
   readonly #server: Server;
@@ -39,20 +45,42 @@
       mayKeepConnections: (response) =>
         context.mayKeepConnections(response) || this.#isFollowed(response),
     };
+    const refusal: string[] = ["Retry-After", REFUSAL_RETRY_AFTER_SECONDS];
+    const { notExecuted, requestId } = context.protocol.headers;
+    if (context.origin === "peer") refusal.push(notExecuted, "1");
     this.#server = createServer({
+      requireHostHeader: false,
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       noDelay: true,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MILLISECONDS,
-    }, (request, response) => {
-      if (this.#isBehindClosing(request.socket)) return;
-      this.#lastResponses.set(request.socket, response);
-      this.#inProgress += 1;
-      this.#lastRequestAtMilliseconds = this.#clock();
-      response.sendDate = false;
-      const exchange = new RequestExchange(exchangeContext, request, response);
-      exchange.start(() => this.#inProgress -= 1);
+    });
+    const role = context.origin === "peer" ? "peers" : "calls";
+    context.guard.attach(this.#server, role, {
+      serve: (request, response) => {
+        if (!this.#begin(response)) return;
+        const exchange = new RequestExchange(
+          exchangeContext,
+          request,
+          response,
+        );
+        exchange.start(() => this.#inProgress -= 1);
+      },
+      requestIdHeader: requestId,
+      refuse: (request, response, id) => {
+        if (!this.#begin(response)) return;
+        response.once("close", () => this.#inProgress -= 1);
+        context.metrics.recordOutcome("refused");
+        const writer = new AnswerWriter({
+          request,
+          response,
+          mayKeepConnection: exchangeContext.mayKeepConnections,
+          addedHeaders: () => [],
+        });
+        const headers = id === "" ? refusal : [...refusal, requestId, id];
+        writer.writeLocalAnswer(503, [...headers], "too-many-requests");
+      },
     });
     this.#server.on("checkContinue", (request, response) => {
       response.writeContinue();
@@ -60,6 +88,17 @@
     });
   }
 
+  /** Counts a request; returns whether it can still be answered. */
+  #begin(response: ServerResponse): boolean {
+    const { socket } = response.req;
+    if (this.#isBehindClosing(socket)) return false;
+    this.#lastResponses.set(socket, response);
+    this.#inProgress += 1;
+    this.#lastRequestAtMilliseconds = this.#clock();
+    response.sendDate = false;
+    return true;
+  }
+
   get inProgress(): number {
     return this.#inProgress;
   }
@@ -86,6 +125,10 @@
 
   /** Connections that are idle keep their timeout until the next request. */
   setLimits(limits: RequestLimits): void {
+    // Node reads it for each connection, but its types omit that.
+    Object.assign(this.#server, {
+      maxHeaderSize: limits.maximumHeaderBytes * MAXIMUM_HEADER_MULTIPLE,
+    });
     this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
     this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds +
       KEEP_ALIVE_MARGIN_MILLISECONDS;
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -182,7 +182,15 @@
     revision?: number;
     detail: string;
   }
-  | { event: "peer-message-refused"; peer: string; detail: string };
+  | { event: "peer-message-refused"; peer: string; detail: string }
+  | {
+    event: "caller-limited";
+    action: "request-refused" | "connection-closed";
+    reason: string;
+    server?: string;
+    /** Estimated memory of requests in progress and unread answers. */
+    heldBytes: number;
+  };
 
 export type WriteEvent = (event: GatewayEvent) => void;
 
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -8,6 +8,7 @@
 import type { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Clock } from "@marigoldford/kernel/types";
 import type { CallerProtocol } from "./caller_protocol.ts";
+import type { ConnectionGuard } from "./connection_guard.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import type { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { WriteEvent } from "./events.ts";
@@ -47,6 +48,7 @@
   ) => boolean;
   /** Whether a caller's connection stays open after an answer. */
   readonly mayKeepConnections: (response: ServerResponse) => boolean;
+  readonly guard: ConnectionGuard;
   readonly onInFlightChange: () => void;
   readonly onReport: (server: ServerLoad) => void;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,8 +18,8 @@
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Address } from "@marigoldford/kernel/types";
 import { EventLog } from "@marigoldford/logger/event_log";
-import type { CallerProtocol } from "./caller_protocol.ts";
-import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
+import { CALLER_PROTOCOLS, type CallerProtocol } from "./caller_protocol.ts";
+import { ConnectionGuard } from "./connection_guard.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
 import { DiscoveryExchange } from "./discovery_exchange.ts";
@@ -49,6 +49,7 @@
 import { ServerTable } from "./server_table.ts";
 import { ServiceStates } from "./service_states.ts";
 import { TUNING } from "./tuning.ts";
+import { validityMilliseconds } from "./state_validity.ts";
 import { WallClock } from "./wall_clock.ts";
 import "./metrics_server.ts";
 
@@ -69,11 +70,6 @@
 /** Also the interval at which statements of servers that are gone expire. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5_000;
 const MILLISECONDS_IN_SECOND = 1_000;
-/**
- * Time from the decision on a request to its arrival at a server: probes, a
- * connection that is opened, and other work of the entry.
- */
-const DECISION_MILLISECONDS = 400;
 /** Time from the exit of the process to the end of the grace period. */
 const EXIT_MARGIN_MILLISECONDS = 500;
 /**
@@ -142,18 +138,6 @@
   readonly writeEvent: WriteEvent;
 };
 
-/** How old a state may be for a request that is decided by it in time. */
-function validityMilliseconds({ bounds }: GatewayOptions): number {
-  const seconds = Math.min(
-    bounds.configurationEffectSeconds,
-    bounds.leavingEffectSeconds,
-  );
-  return Math.max(
-    TUNING.discovery.maximumStateAgeMilliseconds,
-    seconds * MILLISECONDS_IN_SECOND - DECISION_MILLISECONDS,
-  );
-}
-
 class Gateway {
   readonly #options: GatewayOptions;
   readonly #writeEvent: WriteEvent;
@@ -176,6 +160,7 @@
   readonly #placer: Placer;
   readonly #reach: ServerReach;
   readonly #forwarder: PeerForwarder;
+  readonly #guard: ConnectionGuard;
   readonly #callServer: CallServer;
   /** Serves requests that peers pass on. */
   readonly #forwardServer: CallServer;
@@ -353,6 +338,11 @@
       peers: () => this.#fleet.members.livePeers(),
       writeEvent: this.#writeEvent,
     });
+    this.#guard = new ConnectionGuard({
+      limits: options.limits,
+      metrics: this.#metrics,
+      writeEvent: this.#writeEvent,
+    });
     const context = this.#exchangeContext(dependencies.protocol);
     this.#callServer = new CallServer(context);
     this.#forwardServer = new CallServer({ ...context, origin: "peer" });
@@ -500,6 +490,7 @@
       entryAddressesFor: (failureDomain: string | undefined): Address[] =>
         entriesForCaller(this.#fleet.members.liveMembers(), failureDomain),
       metricsText: () => this.#metricsText(),
+      guard: this.#guard,
     };
     return AUXILIARY_SERVERS.names().map((name) =>
       AUXILIARY_SERVERS.find(name)._unsafeUnwrap()(view, this.#options)
@@ -532,6 +523,7 @@
       reach: this.#reach,
       forwarder: this.#forwarder,
       origin: "caller",
+      guard: this.#guard,
       onInFlightChange: () => this.#loadExchange.scheduleInFlightUpdate(),
       onReport: (server) => this.#loadExchange.queueReport(server),
     };
@@ -666,6 +658,7 @@
     return this.#metrics.text({
       requests_in_progress: this.#inProgress,
       unreached_services: this.#forwarder.cutServices.length,
+      request_memory_bytes: Math.round(this.#guard.heldBytes),
       servers: this.#servers.size,
       limited_servers: limited,
       leaving_servers: leaving,
--- a/packages/gateway/src/metrics_server.ts
+++ b/packages/gateway/src/metrics_server.ts
@@ -14,5 +14,5 @@
         contentType: "text/plain",
         text: view.metricsText(),
       };
-    }),
+    }, view.guard),
 );
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -75,6 +75,13 @@
     /** Probes of each backend server per second, over the whole fleet. */
     probesPerSecond: Amount,
   }),
+  /** What the instance has; the limits for callers are derived from it. */
+  limits: Schema.optionalKey(Schema.Struct({
+    memoryMegabytes: Schema.optionalKey(Amount),
+    descriptors: Schema.optionalKey(Amount),
+    /** Requests without an answer on one connection. */
+    unansweredRequests: Schema.optionalKey(Amount),
+  })),
 });
 
 export type GatewayOptions = typeof GATEWAY_OPTIONS_SCHEMA.Type;
--- a/packages/gateway/src/options_test.ts
+++ b/packages/gateway/src/options_test.ts
@@ -38,6 +38,14 @@
     );
   });
 
+  it("accepts limits of the instance, and refuses those that are none", () => {
+    const limits = { memoryMegabytes: 202, descriptors: 2_069 };
+    const given = parseGatewayOptions({ ...VALID_SETTINGS, limits });
+    expect(given._unsafeUnwrap().limits).toEqual(limits);
+    const wrong = { ...VALID_SETTINGS, limits: { descriptors: "many" } };
+    expect(parseGatewayOptions(wrong).isErr()).toBe(true);
+  });
+
   it("reports every error with its path", () => {
     const result = parseGatewayOptions({
       ...VALID_SETTINGS,
--- a/packages/gateway/src/plug_ins.ts
+++ b/packages/gateway/src/plug_ins.ts
@@ -7,6 +7,7 @@
  */
 import type { Address } from "@marigoldford/kernel/types";
 import { PlugInRegistry } from "@marigoldford/kernel/plug_ins";
+import type { ConnectionGuard } from "./connection_guard.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayOptions } from "./options.ts";
@@ -25,6 +26,7 @@
   /** Call addresses of the entries that a caller is to use. */
   readonly entryAddressesFor: (failureDomain: string | undefined) => Address[];
   readonly metricsText: () => string;
+  readonly guard: ConnectionGuard;
 };
 
 export type AuxiliaryServer = {
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -23,6 +23,8 @@
 
 /** Bodies up to this size are buffered so that they can be sent again. */
 const MAXIMUM_BUFFERED_BODY_BYTES = 64 * 1024;
+/** More chunks are merged, as each takes memory beside its bytes. */
+const MAXIMUM_BUFFERED_CHUNKS = 256;
 
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
@@ -42,6 +44,9 @@
   const onData = (chunk: Buffer) => {
     chunks.push(chunk);
     received += chunk.byteLength;
+    if (chunks.length > MAXIMUM_BUFFERED_CHUNKS) {
+      chunks.splice(0, chunks.length, Buffer.concat(chunks));
+    }
     if (received <= MAXIMUM_BUFFERED_BODY_BYTES) return;
     request.off("data", onData);
     request.off("end", onEnd);
--- a/packages/gateway/src/text_server.ts
+++ b/packages/gateway/src/text_server.ts
@@ -2,8 +2,13 @@
  * An HTTP server for GET requests with short answers.
  */
 import { Buffer } from "node:buffer";
-import { createServer, type IncomingMessage } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
 import type { Address } from "@marigoldford/kernel/types";
+import { ConnectionGuard } from "./connection_guard.ts";
 import { listenAt } from "./listen.ts";
 import type { AuxiliaryServer } from "./plug_ins.ts";
 
@@ -21,20 +26,23 @@
 export function makeTextServer(
   address: Address,
   answer: (url: URL) => TextAnswer | undefined,
+  guard = new ConnectionGuard({ limits: undefined }),
 ): AuxiliaryServer {
   function answerTo({ method, url: target = "/" }: IncomingMessage) {
     if (!URL.canParse(target, BASE)) return BAD_REQUEST;
     const url = new URL(target, BASE);
     return (method === "GET" ? answer(url) : undefined) ?? NOT_FOUND;
   }
-  const server = createServer((request, response) => {
+  function serve(request: IncomingMessage, response: ServerResponse): void {
     const { status, contentType, text = "" } = answerTo(request);
     response.writeHead(status, {
       "content-length": Buffer.byteLength(text),
       ...(contentType === undefined ? {} : { "content-type": contentType }),
     });
     response.end(text);
-  });
+  }
+  const server = createServer({ requireHostHeader: false });
+  guard.attach(server, "auxiliary", { serve });
   return {
     open: () => listenAt(server, address),
     close: () => {
--- /dev/null
+++ b/packages/kernel/src/request_budget_test.ts
@@ -0,0 +1,61 @@
+/**
+ * Tests which requests are served, refused or cost their connection.
+ */
+import { expect, it } from "vitest";
+import { RequestBudget, requestCost } from "./request_budget.ts";
+
+const SMALL = requestCost({ headerLines: 10, headerBytes: 300, bodyBytes: 0 });
+const LARGE = requestCost({
+  headerLines: 4_000,
+  headerBytes: 12_000,
+  bodyBytes: 0,
+});
+const BUDGET_BYTES = 3 * LARGE;
+const MAXIMUM_UNANSWERED = 3;
+
+function makeBudget() {
+  const budget = new RequestBudget<string>(BUDGET_BYTES);
+  const send = (connection: string, cost: number) => {
+    const decision = budget.decide(connection, cost, MAXIMUM_UNANSWERED);
+    if (decision === "serve") budget.add(connection, cost);
+    return decision;
+  };
+  return { budget, send };
+}
+
+it("a request that is alone is served, however large", () => {
+  const { budget, send } = makeBudget();
+  expect(send("a", 10 * BUDGET_BYTES)).toBe("serve");
+  expect(budget.connectionToClose()).toBeUndefined();
+});
+
+it("small requests fit when large ones use their share", () => {
+  const { send } = makeBudget();
+  expect(send("a", LARGE)).toBe("serve");
+  expect(send("b", LARGE)).toBe("refuse-last");
+  expect(send("c", SMALL)).toBe("serve");
+});
+
+it("too many unanswered requests close the connection", () => {
+  const { budget, send } = makeBudget();
+  for (let count = 0; count < MAXIMUM_UNANSWERED; count++) {
+    expect(send("a", SMALL)).toBe("serve");
+  }
+  expect(send("a", SMALL)).toBe("close");
+  budget.remove("a", SMALL);
+  expect(send("a", SMALL)).toBe("serve");
+});
+
+it("the connection that holds the most is closed first", () => {
+  const { budget, send } = makeBudget();
+  send("a", SMALL);
+  send("b", SMALL);
+  budget.setUnread("b", 2 * BUDGET_BYTES);
+  expect(budget.connectionToClose()).toBe("b");
+  budget.forget("b");
+  expect(budget.connectionToClose()).toBeUndefined();
+  expect(budget.heldBytes).toBe(SMALL);
+  budget.remove("b", SMALL);
+  budget.remove("a", SMALL);
+  expect(budget.heldBytes).toBe(0);
+});
