--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -21,9 +21,16 @@
   readonly detail: string;
 };
 
+/** What the instance has, where the settings file does not say so. */
+export type InstanceLimits = {
+  readonly memoryMegabytes?: number | undefined;
+  readonly descriptors?: number | undefined;
+};
+
 /** Reads and validates a settings file. */
 export function readSettings(
   path: string,
+  limits: InstanceLimits = {},
 ): Result<GatewayOptions, SettingsUnreadable | OptionsInvalid> {
   let value: unknown;
   try {
@@ -32,15 +39,28 @@
     const detail = `${path}: ${String(error)}; expected a JSON file`;
     return err({ kind: "settings-unreadable", detail });
   }
-  return parseGatewayOptions(value);
+  return parseGatewayOptions(value).map((options) => ({
+    ...options,
+    limits: { ...definedOf(limits), ...options.limits },
+  }));
+}
+
+function definedOf({ memoryMegabytes, descriptors }: InstanceLimits) {
+  return {
+    ...(memoryMegabytes === undefined ? {} : { memoryMegabytes }),
+    ...(descriptors === undefined ? {} : { descriptors }),
+  };
 }
 
 /**
  * Runs until SIGTERM, SIGINT or an uncaught exception, of which the first one
  * counts; resolves to the exit code.
  */
-export async function runGateway(settingsPath: string): Promise<number> {
-  const settings = readSettings(settingsPath);
+export async function runGateway(
+  settingsPath: string,
+  limits: InstanceLimits = {},
+): Promise<number> {
+  const settings = readSettings(settingsPath, limits);
   if (settings.isErr()) {
     process.stderr.write(`${settings.error.kind}: ${settings.error.detail}\n`);
     return EXIT_CODE_INVALID_SETTINGS;
--- a/packages/gateway/src/discovery_synchronizer.ts
+++ b/packages/gateway/src/discovery_synchronizer.ts
@@ -29,7 +29,10 @@
   applySnapshotDifference,
   type SnapshotDifference,
 } from "@marigoldford/kernel/snapshot_difference";
-import { watcherReason } from "@marigoldford/kernel/watcher_selection";
+import {
+  outageBackoffFactor,
+  watcherReason,
+} from "@marigoldford/kernel/watcher_selection";
 import type { Clock, RandomSource } from "@marigoldford/kernel/types";
 import type { DiscoveryFailure, DiscoverySource } from "./discovery_source.ts";
 import type { WriteEvent } from "./events.ts";
@@ -574,17 +577,24 @@
     }
     this.#failuresInRow += 1;
     this.#recordLoss(failure);
-    await this.#backOff(this.#failuresInRow);
+    const { settings, self, eligibleWatchers } = this.#options;
+    const factor = outageBackoffFactor({
+      self,
+      eligible: eligibleWatchers(),
+      watcherCount: settings.watcherCount,
+    });
+    await this.#backOff(this.#failuresInRow, factor);
   }
 
-  async #backOff(failuresInRow: number): Promise<void> {
+  async #backOff(failuresInRow: number, factor = 1): Promise<void> {
     if (failuresInRow === 0) return;
     const doublings = Math.min(failuresInRow - 1, 4);
     const backoffMilliseconds = Math.min(
       MAXIMUM_BACKOFF_MILLISECONDS,
       MINIMUM_BACKOFF_MILLISECONDS * 2 ** doublings,
     );
-    await sleep(backoffMilliseconds * (0.75 + this.#options.random() / 2));
+    const spread = 0.75 + this.#options.random() / 2;
+    await sleep(backoffMilliseconds * factor * spread);
   }
 
   /** Gives peers time to send a listing of the era that has begun, if any. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,8 +17,8 @@
 import { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Address } from "@marigoldford/kernel/types";
 import { EventLog } from "@marigoldford/logger/event_log";
-import type { CallerProtocol } from "./caller_protocol.ts";
-import { CALLER_PROTOCOLS } from "./caller_protocol.ts";
+import { CALLER_PROTOCOLS, type CallerProtocol } from "./caller_protocol.ts";
+import { ConnectionGuard } from "./connection_guard.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
 import { logChange } from "./discovery_change_log.ts";
@@ -166,6 +166,7 @@
   readonly #placer: Placer;
   readonly #reach: ServerReach;
   readonly #forwarder: PeerForwarder;
+  readonly #guard: ConnectionGuard;
   readonly #callServer: CallServer;
   /** Serves requests that peers pass on. */
   readonly #forwardServer: CallServer;
@@ -371,6 +372,11 @@
       peers: () => this.#fleet.members.livePeers(),
       writeEvent: this.#writeEvent,
     });
+    this.#guard = new ConnectionGuard({
+      limits: options.limits,
+      metrics: this.#metrics,
+      writeEvent: this.#writeEvent,
+    });
     const context = this.#exchangeContext(dependencies.protocol);
     this.#callServer = new CallServer(context);
     this.#forwardServer = new CallServer({ ...context, origin: "peer" });
@@ -512,6 +518,7 @@
         this.#options,
         (domain) => this.#discovery.state.isEvacuated(domain),
       ),
+      guard: this.#guard,
     };
     return AUXILIARY_SERVERS.names().map((name) =>
       AUXILIARY_SERVERS.find(name)._unsafeUnwrap()(view, this.#options)
@@ -544,6 +551,7 @@
       reach: this.#reach,
       forwarder: this.#forwarder,
       origin: "caller",
+      guard: this.#guard,
       onInFlightChange: () => this.#loadExchange.scheduleInFlightUpdate(),
       onReport: (server) => this.#loadExchange.queueReport(server),
       offerSlot: (server) => this.#slotExchange.offer(server),
@@ -662,6 +670,7 @@
       unreached_services: this.#forwarder.cutServices.length,
       ...this.#servers.gauges,
       evacuated_domains: this.#discovery.state.evacuatedDomains,
+      request_memory_bytes: Math.round(this.#guard.heldBytes),
       peers: this.#fleet.members.livePeers().length,
       configuration_version: this.#router.snapshot?.version ?? 0,
       discovery_era: this.#discovery.state.era,
--- a/packages/gateway/src/metrics_server.ts
+++ b/packages/gateway/src/metrics_server.ts
@@ -21,5 +21,6 @@
           text: view.metricsText(),
         };
       },
+      view.guard,
     ),
 );
--- a/packages/gateway/src/plug_ins.ts
+++ b/packages/gateway/src/plug_ins.ts
@@ -7,6 +7,7 @@
  */
 import type { Address } from "@marigoldford/kernel/types";
 import { PlugInRegistry } from "@marigoldford/kernel/plug_ins";
+import type { ConnectionGuard } from "./connection_guard.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayOptions } from "./options.ts";
@@ -28,6 +29,7 @@
   readonly metricsText: () => string;
   /** Where a request would be sent now, without sending it. */
   readonly explainRoute: ExplainRoute;
+  readonly guard: ConnectionGuard;
 };
 
 export type AuxiliaryServer = {
--- a/packages/kernel/src/watcher_selection.ts
+++ b/packages/kernel/src/watcher_selection.ts
@@ -34,13 +34,34 @@
 const START_DELAY_PER_DOUBLING_MILLISECONDS = 25;
 /** Entries that may watch in place of each watcher. */
 const ACTING_ENTRIES_PER_WATCHER = 4;
+/** An entry that peers do not reach calls the service itself, if less often. */
+const MAXIMUM_OUTAGE_FACTOR = 4;
 /** Time for the state of the first half of the others to reach the rest. */
 const DELAY_PER_DOUBLING_MILLISECONDS = 75;
 
-export function watcherReason(inputs: WatcherInputs): WatcherReason {
-  const { self, eligible, watcherCount } = inputs;
+/** An entry among the first may watch in place of the chosen ones. */
+function positionOf(
+  { self, eligible }: Pick<WatcherInputs, "self" | "eligible">,
+): number {
   const rank = rankOf("discovery-watcher", self, eligible);
-  const position = rank < 0 ? eligible.length : rank;
+  return rank < 0 ? eligible.length : rank;
+}
+
+/**
+ * By how much an entry calls the service less often while it does not answer.
+ * The first entries notice its return and tell the others.
+ */
+export function outageBackoffFactor(
+  inputs: Pick<WatcherInputs, "self" | "eligible" | "watcherCount">,
+): number {
+  const acting = ACTING_ENTRIES_PER_WATCHER * inputs.watcherCount;
+  const factor = Math.floor(positionOf(inputs) / acting);
+  return Math.min(MAXIMUM_OUTAGE_FACTOR, Math.max(1, factor));
+}
+
+export function watcherReason(inputs: WatcherInputs): WatcherReason {
+  const { watcherCount } = inputs;
+  const position = positionOf(inputs);
   const doublings = Math.log2(Math.max(1, position / watcherCount));
   const mayAct = position < ACTING_ENTRIES_PER_WATCHER * watcherCount;
   if (inputs.isActing && mayAct) return "news-too-old";
--- a/packages/kernel/src/watcher_selection_test.ts
+++ b/packages/kernel/src/watcher_selection_test.ts
@@ -3,7 +3,11 @@
  * them have no state, or an old one, at the same moment.
  */
 import { describe, expect, it } from "vitest";
-import { type WatcherInputs, watcherReason } from "./watcher_selection.ts";
+import {
+  outageBackoffFactor,
+  type WatcherInputs,
+  watcherReason,
+} from "./watcher_selection.ts";
 
 const MEMBERS = Array.from({ length: 313 }, (_, index) => `entry-${index}`);
 const WATCHERS = 2;
@@ -62,3 +66,20 @@
     expect(at(2_000)).toBe(MEMBERS.length);
   });
 });
+
+// Guards against: while the service is down, each entry of a large fleet calls
+// it about once a second.
+it("only the first entries call a service often that does not answer", () => {
+  const eligible = Array.from({ length: 146 }, (_, index) => `entry-${index}`);
+  const factors = eligible.map((self) =>
+    outageBackoffFactor({ self, eligible, watcherCount: 2 })
+  );
+  expect(factors.filter((factor) => factor === 1)).toHaveLength(16);
+  expect(Math.max(...factors)).toBe(4);
+  const few = eligible.slice(0, 12);
+  expect(
+    few.map((self) =>
+      outageBackoffFactor({ self, eligible: few, watcherCount: 2 })
+    ),
+  ).toEqual(few.map(() => 1));
+});
