--- a/packages/gateway/src/crash_detector.ts
+++ b/packages/gateway/src/crash_detector.ts
@@ -1,8 +1,9 @@
 /**
  * Detects requests that crash backend servers, and quarantines them.
  *
- * If a connection breaks during a request and the server is then down, the
- * request is suspected of having crashed it. Entries report crashes to each
+ * If a connection breaks during a request, or the server is silent until the
+ * request has no time left, and the server is then down, the request is
+ * suspected of having crashed it. Entries report crashes to each
  * other, so that the fleet counts all servers that a request has crashed. An
  * answer to the request, by any server, clears it.
  */
@@ -14,6 +15,7 @@
 import type { DatagramSocket } from "./datagram_socket.ts";
 import type { WriteEvent } from "./events.ts";
 import type { FleetDatagram } from "./fleet_messages.ts";
+import type { CrashSign } from "./server_inquiry.ts";
 
 export type CrashDetectorOptions = {
   readonly self: string;
@@ -30,7 +32,7 @@
   };
   readonly socket: Pick<DatagramSocket, "send">;
   /** Whether a server is down, not only the way of this entry to it. */
-  readonly isDown: (server: ServerLoad) => Promise<boolean>;
+  readonly isDown: (server: ServerLoad, sign?: CrashSign) => Promise<boolean>;
   readonly findServer: (address: Address) => ServerLoad | undefined;
   readonly peers: () => readonly MemberRecord[];
   readonly writeEvent: WriteEvent;
@@ -39,10 +41,12 @@
 /** Equal for requests that differ only in their request ids. */
 export type Fingerprint = () => string;
 
-/** An attempt whose connection broke before a complete answer. */
+/** An attempt that got no complete answer. */
 export type BrokenAttempt = {
   readonly server: ServerLoad;
   readonly startedAtMilliseconds: number;
+  /** How it ended; if missing, its connection broke. */
+  readonly crashSign?: CrashSign;
 };
 
 type CrashDatagram = Extract<FleetDatagram, { kind: "crash" }>;
@@ -155,13 +159,13 @@
 
   async #judge(
     digest: string,
-    { server, startedAtMilliseconds }: BrokenAttempt,
+    { server, startedAtMilliseconds, crashSign }: BrokenAttempt,
     trial: Trial,
   ): Promise<void> {
     const { self, clock, socket, isDown, peers, writeEvent } = this.#options;
     const { id, address } = server.registration;
     const brokenAtMilliseconds = clock();
-    if (!await isDown(server) || trial.isAnswered) return;
+    if (!await isDown(server, crashSign) || trial.isAnswered) return;
     const times = { startedAtMilliseconds, brokenAtMilliseconds };
     if (!this.#quarantine.record({ fingerprint: digest, address, ...times })) {
       return;
--- a/packages/gateway/src/failure.ts
+++ b/packages/gateway/src/failure.ts
@@ -19,6 +19,8 @@
 /** Added to `Retry-After` at random, so that callers do not return at once. */
 const RETRY_SPREAD_SECONDS = 0.3;
 const MILLISECONDS_IN_SECOND = 1_000;
+/** A report that a peer passes on may have been made this much earlier. */
+const RELAYED_REPORT_MILLISECONDS = 250;
 
 /**
  * When a caller should retry. Where servers take no request of this entry for
@@ -77,7 +79,8 @@
 ): boolean {
   if (isForward) return false;
   const isSilent = timeToHeadMilliseconds === undefined &&
-    server.reportAgeMilliseconds(now) > elapsedMilliseconds;
+    server.reportAgeMilliseconds(now) >
+      elapsedMilliseconds - RELAYED_REPORT_MILLISECONDS;
   return kind === "broken" || kind === "timed-out" && isSilent;
 }
 
--- a/packages/gateway/src/fleet_messages.ts
+++ b/packages/gateway/src/fleet_messages.ts
@@ -145,6 +145,12 @@
     readonly unreached: readonly ServiceName[];
     /** Ids of servers that the receiver is asked to try to reach. */
     readonly asks?: readonly string[];
+    /**
+     * Whether these servers were silent for as long as a request may take, so
+     * that silence towards the receiver is a finding. Earlier builds ignore it
+     * and say nothing of a silent server.
+     */
+    readonly isAfterSilence?: boolean;
     /** The findings that the receiver has asked for. */
     readonly findings?: readonly SharedFinding[];
     /**
@@ -373,9 +379,11 @@
           (value, path) => readUsable(value, path, readFinding, onIgnored),
         ),
         readOptional(message, "isForDomain", readBoolean),
-      ]).map(([unreached, asks, findings, isForDomain]) => ({
+        readOptional(message, "isAfterSilence", readBoolean),
+      ]).map(([unreached, asks, findings, isForDomain, isAfterSilence]) => ({
         unreached,
         ...asks,
+        ...isAfterSilence,
         ...findings,
         ...isForDomain,
       }));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -367,7 +367,7 @@
       clock,
       settings: TUNING.crashes,
       socket: this.#datagramSocket,
-      isDown: (server) => this.#inquiry.isDown(server),
+      isDown: (server, sign) => this.#inquiry.isDown(server, sign),
       findServer: (address) => this.#servers.findByAddress(address),
       peers: () => this.#fleet.members.livePeers(),
       writeEvent: this.#writeEvent,
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -19,6 +19,7 @@
 import { isValidStatus } from "@marigoldford/http_answers/valid_status";
 import { type CallerProtocol, headerValue } from "./caller_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
+import type { CrashSign } from "./server_inquiry.ts";
 import {
   detectReset,
   hasEarlierAnswer,
@@ -157,6 +158,7 @@
   #connectTimer: ReturnType<typeof setTimeout> | undefined;
   #headAtMilliseconds: number | undefined;
   #hasOpenedConnection = false;
+  #crashSign: CrashSign = "broken-connection";
   readonly placementInputs: PlacementInputs;
 
   constructor(options: AttemptOptions) {
@@ -221,6 +223,11 @@
       : undefined;
   }
 
+  /** What the end of the attempt would be a sign of, if its server is down. */
+  get crashSign(): CrashSign {
+    return this.#crashSign;
+  }
+
   get now(): number {
     return this.#options.clock();
   }
@@ -460,6 +467,7 @@
     clearTimeout(this.#connectTimer);
     this.#endHeadLimit();
     this.#phase = "ended";
+    if (evidence.kind === "timed-out") this.#crashSign = "silence";
     const mayKeepConnection = evidence.kind === "refused-by-server" &&
       this.#request.writableFinished;
     if (mayKeepConnection && this.#answer !== undefined) {
--- a/packages/gateway/src/server_inquiry.ts
+++ b/packages/gateway/src/server_inquiry.ts
@@ -22,7 +22,7 @@
 import type { DatagramSocket } from "./datagram_socket.ts";
 import type { WriteEvent } from "./events.ts";
 import type { FleetDatagram } from "./fleet_messages.ts";
-import type { Prober } from "./prober.ts";
+import type { Prober, ProbeResult } from "./prober.ts";
 import type { ServerTable } from "./server_table.ts";
 
 export type ServerInquiryOptions = {
@@ -50,6 +50,18 @@
 /** Other servers that are tried to tell whether this entry reaches any. */
 const COMPARED_SERVERS = 3;
 
+/** What made an entry suspect that a server is down. */
+export type CrashSign = "broken-connection" | "silence";
+
+/**
+ * Whether a probe shows a server to be down. One that is only silent may be
+ * slow, or the entry that asks may be, unless it has already been silent for as
+ * long as a request may take.
+ */
+function showsDown(result: ProbeResult, sign: CrashSign): boolean {
+  return result === "failed" || sign === "silence" && result === "silent";
+}
+
 class Question {
   readonly askedAtMilliseconds: number;
   readonly #asked: ReadonlySet<string>;
@@ -84,21 +96,25 @@
   }
 
   /** Whether a server is down; joins an inquiry that is in progress. */
-  isDown(server: ServerLoad): Promise<boolean> {
-    const { id } = server.registration;
-    const inProgress = this.#inquiries.get(id);
+  isDown(
+    server: ServerLoad,
+    sign: CrashSign = "broken-connection",
+  ): Promise<boolean> {
+    const key = `${server.registration.id} ${sign}`;
+    const inProgress = this.#inquiries.get(key);
     if (inProgress !== undefined) return inProgress;
-    const inquiry = this.#inquire(server).finally(() =>
-      this.#inquiries.delete(id)
+    const inquiry = this.#inquire(server, sign).finally(() =>
+      this.#inquiries.delete(key)
     );
-    this.#inquiries.set(id, inquiry);
+    this.#inquiries.set(key, inquiry);
     return inquiry;
   }
 
   /** Tries to reach the servers that a peer asks about, or notes its findings. */
   receive(datagram: ReachDatagram, sender: Address): void {
     const { from, unreached, asks = [], findings = [] } = datagram;
-    if (asks.length > 0) void this.#answer(sender, asks);
+    const sign = datagram.isAfterSilence ? "silence" : "broken-connection";
+    if (asks.length > 0) void this.#answer(sender, asks, sign);
     for (const { server, isReached } of findings) {
       const service = this.#options.servers.find(server)?.load.registration
         .service;
@@ -108,12 +124,11 @@
     }
   }
 
-  async #inquire(server: ServerLoad): Promise<boolean> {
+  async #inquire(server: ServerLoad, sign: CrashSign): Promise<boolean> {
     const { clock, prober, writeEvent } = this.#options;
     const startedAt = clock();
-    // A server that is only silent may be slow, or this entry may be.
-    if (await prober.check(server) !== "failed") return false;
-    const findings = await this.#askPeers(server);
+    if (!showsDown(await prober.check(server), sign)) return false;
+    const findings = await this.#askPeers(server, sign);
     const verdict = judgeServer(findings, findings.length);
     const isDown = verdict === "unknown"
       ? await this.#isDownAlone(server, startedAt)
@@ -129,7 +144,7 @@
   }
 
   /** What peers find that try to reach the server. */
-  async #askPeers({ registration: { id } }: ServerLoad) {
+  async #askPeers({ registration: { id } }: ServerLoad, sign: CrashSign) {
     const { self, socket, unreached, clock } = this.#options;
     const peers = this.#choosePeers();
     if (peers.length === 0) return [];
@@ -146,6 +161,7 @@
         from: self,
         unreached: unreached(),
         asks: [id],
+        ...(sign === "silence" ? { isAfterSilence: true } : {}),
       });
     });
     this.#questions.delete(id);
@@ -188,14 +204,19 @@
     return results.includes("answered");
   }
 
-  async #answer(asker: Address, asks: readonly string[]): Promise<void> {
+  async #answer(
+    asker: Address,
+    asks: readonly string[],
+    sign: CrashSign,
+  ): Promise<void> {
     const { servers, prober, socket, self, unreached } = this.#options;
     const findings = await Promise.all(
       asks.slice(0, MAXIMUM_ASKS).map(async (server) => {
         const load = servers.find(server)?.load;
         const result = load && await prober.check(load);
-        return result === "answered" || result === "failed"
-          ? [{ server, isReached: result === "answered" }]
+        if (result === "answered") return [{ server, isReached: true }];
+        return result !== undefined && showsDown(result, sign)
+          ? [{ server, isReached: false }]
           : [];
       }),
     );
--- a/packages/gateway/src/server_inquiry_test.ts
+++ b/packages/gateway/src/server_inquiry_test.ts
@@ -137,6 +137,21 @@
   expect(await isDown(entry)).toBe(false);
 });
 
+// Guards against: a request that silences each server that runs it is sent on
+// without end, as silence alone never counts.
+it("a server that was silent until a request had no time left is down unless an entry reaches it", async () => {
+  const entry = addEntry("entry", "silent");
+  const peer = addEntry("peer", "silent");
+  const isDownAfterSilence = () =>
+    entry.inquiry.isDown(loads.get("a")!, "silence");
+  expect(await isDownAfterSilence()).toBe(true);
+  peer.results.set("a", "answered");
+  expect(await isDownAfterSilence()).toBe(false);
+  peer.results.set("a", "silent");
+  entry.results.set("a", "answered");
+  expect(await isDownAfterSilence()).toBe(false);
+});
+
 it("without peers that answer, another server that is reached decides", async () => {
   const entry = addEntry("entry", "failed");
   expect(await isDown(entry)).toBe(true);
