--- a/packages/gateway/src/failure.ts
+++ b/packages/gateway/src/failure.ts
@@ -87,7 +87,8 @@
 /** What a failed attempt says of the health of its server. */
 export function serverOutcomeOf(
   evidence: AttemptEvidence,
-  isPastObjective: boolean,
+  { elapsedMilliseconds }: { readonly elapsedMilliseconds: number },
+  { objectiveMilliseconds }: { readonly objectiveMilliseconds: number },
 ): ServerOutcome {
   switch (evidence.kind) {
     case "refused-by-server":
@@ -97,7 +98,9 @@
     case "cancelled":
       return "inconclusive";
     case "timed-out":
-      return isPastObjective ? "silent" : "inconclusive";
+      return elapsedMilliseconds > objectiveMilliseconds
+        ? "silent"
+        : "inconclusive";
     default:
       return "failed";
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -512,12 +512,7 @@
       entryAddressesFor: (failureDomain: string | undefined): Address[] =>
         entriesForCaller(this.#fleet.members.liveMembers(), failureDomain),
       metricsText: () => this.#metricsText(),
-      explainRoute: makeRouteExplainer(
-        context,
-        this.#discovery,
-        this.#options,
-        (domain) => this.#discovery.state.isEvacuated(domain),
-      ),
+      explainRoute: makeRouteExplainer(context, this.#discovery, this.#options),
       guard: this.#guard,
     };
     return AUXILIARY_SERVERS.names().map((name) =>
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -53,6 +53,7 @@
 import { HedgeTimer } from "./hedge_timer.ts";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
 import { readBody, type RequestBody } from "./request_body.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import { FRAMING_HEADERS, framingHeaders } from "./request_framing.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import {
@@ -601,9 +602,10 @@
     const evidence = attempt.isForward ? evidenceOfPeer(failure) : failure;
     this.#recordReach(attempt, evidence);
     this.#history.recordEnd(evidence);
-    const hasBeenLate = attempt.elapsedMilliseconds >
-      this.#route.objectiveMilliseconds;
-    this.#releaseServer(attempt, serverOutcomeOf(evidence, hasBeenLate));
+    this.#releaseServer(
+      attempt,
+      serverOutcomeOf(evidence, attempt, this.#route),
+    );
     if (evidence.kind === "cancelled") return;
     this.#log.attemptFailed(attempt, evidence);
     if (evidence.kind === "unusable-answer") {
@@ -665,11 +667,7 @@
 
   /** Equal for requests that differ only in their request ids. */
   #fingerprint(): string {
-    const { method = "", url = "", headers } = this.#request;
-    const body = this.#body?.kind === "buffered"
-      ? this.#body.bytes.toString("latin1")
-      : "";
-    return `${method} ${headers.host} ${url} ${body}`;
+    return fingerprintOf(this.#request, this.#body);
   }
 
   #releaseServer(attempt: ServerAttempt, outcome: ServerOutcome): void {
--- a/packages/gateway/src/route_explanation.ts
+++ b/packages/gateway/src/route_explanation.ts
@@ -110,7 +110,7 @@
   context: EntryParts,
   discovery: Discovery,
   { instance: { name: entry } }: Pick<GatewayOptions, "instance">,
-  isEvacuated: IsEvacuated = () => false,
+  isEvacuated: IsEvacuated = (domain) => discovery.state.isEvacuated(domain),
 ): ExplainRoute {
   return (query) => {
     const { host, path } = query;
