--- a/packages/gateway/src/crash_detector.ts
+++ b/packages/gateway/src/crash_detector.ts
@@ -191,7 +191,9 @@
 
   #isNearQuarantine(digest: string): boolean {
     const { crashesToQuarantine } = this.#options.settings;
-    const pending = this.#trials.get(digest)?.judgements.size ?? 0;
+    const trial = this.#trials.get(digest);
+    if (trial === undefined || trial.isAnswered) return false;
+    const pending = trial.judgements.size;
     return pending > 0 &&
       this.#quarantine.crashesOf(digest) + pending >= crashesToQuarantine;
   }
--- a/packages/gateway/src/failure.ts
+++ b/packages/gateway/src/failure.ts
@@ -19,6 +19,8 @@
 /** Added to `Retry-After` at random, so that callers do not return at once. */
 const RETRY_SPREAD_SECONDS = 0.3;
 const MILLISECONDS_IN_SECOND = 1_000;
+const SILENCE_OBJECTIVES = 2;
+const SILENCE_TIME_SHARE = 0.5;
 /** A report that a peer passes on may have been made this much earlier. */
 const RELAYED_REPORT_MILLISECONDS = 250;
 
@@ -62,26 +64,36 @@
 }
 
 /**
- * Whether the server may have crashed while it ran the request: the connection
- * broke, or neither an answer nor a load report has come since the request was
- * sent. A server that loses its machine falls silent without closing anything.
+ * How long a server may be silent on a request until it is looked into whether
+ * it has crashed: well after the usual answers, and early enough that a request
+ * which silences servers is recognized when it comes again.
  */
-export function mayHaveCrashedServer(
-  { kind }: AttemptEvidence,
-  { isForward, timeToHeadMilliseconds, elapsedMilliseconds, server, now }: {
+export function silenceMilliseconds(
+  { objectiveMilliseconds }: { readonly objectiveMilliseconds: number },
+  { timeLimitMilliseconds }: { readonly timeLimitMilliseconds: number },
+): number {
+  return Math.max(
+    SILENCE_OBJECTIVES * objectiveMilliseconds,
+    SILENCE_TIME_SHARE * timeLimitMilliseconds,
+  );
+}
+
+/**
+ * Whether no load report has come from a server either since it got a request
+ * that it does not answer. A server that loses its machine closes nothing.
+ */
+export function isServerSilent(
+  { isForward, elapsedMilliseconds, server, now }: {
     /** Whether a peer was to send the request on. */
     readonly isForward: boolean;
-    readonly timeToHeadMilliseconds: number | undefined;
     readonly elapsedMilliseconds: number;
     readonly server: Pick<ServerLoad, "reportAgeMilliseconds">;
     readonly now: number;
   },
 ): boolean {
-  if (isForward) return false;
-  const isSilent = timeToHeadMilliseconds === undefined &&
-    server.reportAgeMilliseconds(now) >
-      elapsedMilliseconds - RELAYED_REPORT_MILLISECONDS;
-  return kind === "broken" || kind === "timed-out" && isSilent;
+  const reportAge = server.reportAgeMilliseconds(now);
+  return !isForward && elapsedMilliseconds > RELAYED_REPORT_MILLISECONDS &&
+    reportAge > elapsedMilliseconds - RELAYED_REPORT_MILLISECONDS;
 }
 
 /** What a failed attempt says of the health of its server. */
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -78,6 +78,7 @@
   readonly #pending = new Map<string, Promise<ProbeResult>>();
   #assigned: ServerLoad[] = [];
   #assignedAt = -Infinity;
+  #warmthTurn = 0;
   #timer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: ProberOptions) {
@@ -90,7 +91,9 @@
 
   stop(): void {
     clearInterval(this.#timer);
-    for (const connection of this.#connections.values()) connection.close();
+    const connections = [...this.#connections.values()];
+    this.#connections.clear();
+    for (const connection of connections) connection.close();
   }
 
   /** Whether a connection for probes of a server is open. */
@@ -196,14 +199,16 @@
   }
 
   #probeUnknownWarmth(): void {
-    let probes = 0;
+    const unknown: ServerLoad[] = [];
     for (const { load } of this.#options.servers.all()) {
-      if (!load.isWarmthUnknown || this.#pending.has(load.registration.id)) {
-        continue;
-      }
-      if (probes === MAXIMUM_WARMTH_PROBES) return;
-      probes += 1;
-      void this.probe(load);
+      const isPending = this.#pending.has(load.registration.id);
+      if (load.isWarmthUnknown && !isPending) unknown.push(load);
+    }
+    // Servers that do not answer must not keep the others from being asked.
+    const count = Math.min(MAXIMUM_WARMTH_PROBES, unknown.length);
+    for (let probes = 0; probes < count; probes++) {
+      this.#warmthTurn += 1;
+      void this.probe(unknown[this.#warmthTurn % unknown.length]);
     }
   }
 
@@ -232,8 +237,8 @@
     for (const [id, connection] of this.#connections) {
       const { registration } = this.#options.servers.find(id)?.load ?? {};
       if (registration?.address === connection.address) continue;
-      connection.close();
       this.#connections.delete(id);
+      connection.close();
     }
   }
 
@@ -271,7 +276,8 @@
     const isReused = connection.isOpen || this.#adoptIdle(server, connection);
     let result = await this.#getInTime(connection, path);
     // That a server has dropped an idle connection says nothing of its health.
-    if (result === "failed" && isReused) {
+    const isKept = this.#connections.get(server.registration.id) === connection;
+    if (result === "failed" && isReused && isKept) {
       this.#options.onProbe();
       result = await this.#getInTime(connection, path);
     }
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -31,7 +31,6 @@
 import {
   type Admission,
   admit,
-  ATTEMPTS_LEFT_HEADER,
   type Refusal,
   type RefusalCause,
 } from "./admission.ts";
@@ -46,15 +45,15 @@
 import {
   causeOf,
   evidenceOfPeer,
-  mayHaveCrashedServer,
+  isServerSilent,
   retryAfterSeconds,
   serverOutcomeOf,
+  silenceMilliseconds,
 } from "./failure.ts";
+import { forwardedHeaders } from "./forwarded_headers.ts";
 import { HedgeTimer } from "./hedge_timer.ts";
-import { copyEndToEndHeaders } from "./raw_headers.ts";
 import { readBody, type RequestBody } from "./request_body.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
-import { FRAMING_HEADERS, framingHeaders } from "./request_framing.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import {
   type BufferedAnswer,
@@ -67,8 +66,6 @@
  * may be wasted, so large answers are not moved for it.
  */
 const MAXIMUM_HEDGE_CROSS_DOMAIN_COST_OBJECTIVES = 0.3;
-/** Subtracted from the deadline sent on, as the answer takes time to return. */
-const RETURN_TRIP_MILLISECONDS = 2;
 /** A request that crashes backend servers should not be retried soon. */
 const QUARANTINE_RETRY_AFTER_SECONDS = 30;
 
@@ -263,6 +260,7 @@
         remainingObjectiveMilliseconds: this.#objectiveAtMilliseconds -
           this.#context.clock(),
         remainingMilliseconds: this.#remainingMilliseconds,
+        hasWaited: this.#hasWaited,
         hasWaitedMaximum: this.#hasWaitedMaximum,
       }),
     };
@@ -369,7 +367,9 @@
   #enqueue(reason: AttemptReason): void {
     const queuedRequest = this.#makeQueuedRequest(reason);
     const queue = this.#context.services.queueOf(this.#service);
-    if (!queue.isExpectedInTime(queuedRequest)) return this.#fail("no-room");
+    if (!queue.isExpectedInTime(queuedRequest)) {
+      return this.#hasWaited ? this.#onShed(reason) : this.#fail("no-room");
+    }
     this.#queuedRequest = queuedRequest;
     this.#hasWaited = true;
     queue.add(queuedRequest);
@@ -429,6 +429,7 @@
       headers: this.#forwardedHeaders(isForward ? undefined : id),
       body: this.#body,
       connectTimeoutMilliseconds: this.#context.connectTimeoutMilliseconds,
+      silenceMilliseconds: silenceMilliseconds(this.#route, this.#admission),
       clock: this.#context.clock,
       hooks: {
         onConnection: () => {
@@ -448,6 +449,9 @@
           this.#onBufferedAnswer(attempt, answer),
         onStreamedAnswer: (attempt, answer) =>
           this.#onStreamedAnswer(attempt, answer),
+        onSilence: (attempt) => {
+          if (isServerSilent(attempt)) void this.#checkForCrash(attempt);
+        },
         onFailure: (attempt, evidence) => this.#onFailure(attempt, evidence),
       },
     });
@@ -467,29 +471,15 @@
 
   /** Headers for a server, or for a peer if `serverId` is undefined. */
   #forwardedHeaders(serverId: string | undefined): string[] {
-    const { headers } = this.#context.protocol;
-    const replaced = new Set([
-      headers.deadline,
-      headers.expectedServer,
-      ATTEMPTS_LEFT_HEADER,
-      ...FRAMING_HEADERS,
-    ]);
-    const forwarded = copyEndToEndHeaders(
-      this.#request.rawHeaders,
-      replaced,
-      new Set(["host", headers.requestId]),
-    );
-    const forwardedMilliseconds = Math.max(
-      1,
-      Math.floor(this.#remainingMilliseconds - RETURN_TRIP_MILLISECONDS),
-    );
-    forwarded.push(headers.deadline, String(forwardedMilliseconds));
-    if (serverId === undefined) {
-      const left = this.#limits.maximumAttempts - this.#history.serversReached;
-      forwarded.push(ATTEMPTS_LEFT_HEADER, String(Math.max(1, left)));
-    } else forwarded.push(headers.expectedServer, serverId);
-    forwarded.push(...framingHeaders(this.#body, this.#request.headers));
-    return forwarded;
+    const { maximumAttempts } = this.#limits;
+    return forwardedHeaders({
+      request: this.#request,
+      body: this.#body,
+      names: this.#context.protocol.headers,
+      remainingMilliseconds: this.#remainingMilliseconds,
+      serverId,
+      attemptsLeft: maximumAttempts - this.#history.serversReached,
+    });
   }
 
   #makeHedgeTimer(): HedgeTimer {
@@ -614,13 +604,12 @@
     if (!this.#hasEnded && this.#writer.hasSentHead) {
       return this.#abortAnswer(attempt);
     }
-    const judged = mayHaveCrashedServer(evidence, attempt)
+    const judged = evidence.kind === "broken" && !attempt.isForward
       ? this.#checkForCrash(attempt)
       : undefined;
     if (this.#hasEnded) return;
-    if (judged === undefined || evidence.kind === "timed-out") {
-      this.#retryOrFail(evidence);
-    } else void judged.then(() => this.#retryOrFail(evidence));
+    if (judged === undefined) this.#retryOrFail(evidence);
+    else void judged.then(() => this.#retryOrFail(evidence));
   }
 
   /** Records what a failed attempt says of the way to the servers. */
@@ -675,7 +664,8 @@
     attempt.server.recordEnd(attempt, outcome, this.#context.clock());
     this.#context.onInFlightChange();
     this.#context.services.queueOf(this.#service).recordRequestEnd();
-    if (!attempt.isForward) this.#context.offerSlot(attempt.server);
+    if (attempt.isForward || outcome !== "answered") return;
+    this.#context.offerSlot(attempt.server);
   }
 
   /** Aborts an answer that has started and cannot be completed. */
--- a/packages/gateway/src/route_explanation.ts
+++ b/packages/gateway/src/route_explanation.ts
@@ -221,6 +221,7 @@
       serviceTimeMilliseconds: estimates.serviceTimeMilliseconds,
       remainingObjectiveMilliseconds: route.objectiveMilliseconds,
       remainingMilliseconds: route.timeoutMilliseconds,
+      hasWaited: false,
       hasWaitedMaximum: false,
     }),
   };
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -39,6 +39,8 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly connectTimeoutMilliseconds: number;
+  /** After this without an answer `onSilence` is called. */
+  readonly silenceMilliseconds: number;
   readonly clock: () => number;
   readonly hooks: AttemptHooks;
 };
@@ -86,6 +88,11 @@
   ) => void;
   /** The server answered on a connection that was opened for the attempt. */
   readonly onConnection: (attempt: ServerAttempt) => void;
+  /**
+   * No answer has begun for some time after the whole request was passed on, or
+   * until the attempt ran out of time. Called once.
+   */
+  readonly onSilence: (attempt: ServerAttempt) => void;
   /** The attempt ended without a complete answer. */
   readonly onFailure: (
     attempt: ServerAttempt,
@@ -158,7 +165,8 @@
   #connectTimer: ReturnType<typeof setTimeout> | undefined;
   #headAtMilliseconds: number | undefined;
   #hasOpenedConnection = false;
-  #crashSign: CrashSign = "broken-connection";
+  #silenceTimer: ReturnType<typeof setTimeout> | undefined;
+  #hasBroken = false;
   readonly placementInputs: PlacementInputs;
 
   constructor(options: AttemptOptions) {
@@ -225,7 +233,7 @@
 
   /** What the end of the attempt would be a sign of, if its server is down. */
   get crashSign(): CrashSign {
-    return this.#crashSign;
+    return this.#hasBroken ? "broken-connection" : "silence";
   }
 
   get now(): number {
@@ -290,7 +298,26 @@
 
   #onConnected(): void {
     clearTimeout(this.#connectTimer);
-    if (this.#phase === "connecting") this.#phase = "sent";
+    if (this.#phase !== "connecting") return;
+    this.#phase = "sent";
+    const { body, silenceMilliseconds } = this.#options;
+    // A server may read a long body to its end before it answers.
+    if (body.kind === "stream") return;
+    this.#silenceTimer = setTimeout(
+      () => this.#onSilence(),
+      silenceMilliseconds,
+    );
+  }
+
+  #onSilence(): void {
+    if (this.#silenceTimer === undefined) return;
+    this.#endSilence();
+    this.#options.hooks.onSilence(this);
+  }
+
+  #endSilence(): void {
+    clearTimeout(this.#silenceTimer);
+    this.#silenceTimer = undefined;
   }
 
   #sendBody(): void {
@@ -340,6 +367,7 @@
 
   #onAnswer(answer: IncomingMessage): void {
     this.#endHeadLimit();
+    this.#endSilence();
     answer.on("error", () => this.#onConnectionError());
     if (this.hasEnded) {
       answer.destroy();
@@ -467,7 +495,9 @@
     clearTimeout(this.#connectTimer);
     this.#endHeadLimit();
     this.#phase = "ended";
-    if (evidence.kind === "timed-out") this.#crashSign = "silence";
+    this.#hasBroken = evidence.kind === "broken";
+    if (evidence.kind === "timed-out") this.#onSilence();
+    this.#endSilence();
     const mayKeepConnection = evidence.kind === "refused-by-server" &&
       this.#request.writableFinished;
     if (mayKeepConnection && this.#answer !== undefined) {
--- a/packages/gateway/src/server_connections.ts
+++ b/packages/gateway/src/server_connections.ts
@@ -114,7 +114,11 @@
     if (taken !== undefined) USED_SOCKETS.add(taken);
     const socket = taken ?? this.#openConnection(parameters);
     if (socket === undefined) return undefined;
+    IDLE_BEFORE_REQUEST.delete(socket);
+    const isKnown = COUNTED_BYTES.has(socket);
     COUNTED_BYTES.set(socket, bytesOf(socket));
+    // A connection comes back here from a probe, with its listeners.
+    if (isKnown) return socket;
     socket.once("close", () => this.#countBytes(socket));
     // Records whether the connection ends by an error, such as a reset.
     socket.prependListener("error", () => FAILED_SOCKETS.add(socket));
@@ -150,6 +154,8 @@
       if (sockets.length === 0) delete (this.freeSockets as FreeSockets)[name];
       if (socket === undefined || !socket.writable) continue;
       stopIdlePeriod(socket);
+      // Removes the listener that Node adds to idle connections.
+      super.reuseSocket(socket, {} as ClientRequest);
       // Node's agent then forgets the connection.
       socket.emit("agentRemove");
       return socket;
--- a/packages/gateway/src/server_connections_test.ts
+++ b/packages/gateway/src/server_connections_test.ts
@@ -58,6 +58,11 @@
     expect(await send()).toBe("ok");
   }
   expect(connectionCount).toBe(1);
+  const kept = connections.takeIdle()!;
+  for (const event of ["error", "close"]) {
+    expect(kept.listenerCount(event)).toBeLessThan(5);
+  }
+  kept.destroy();
 });
 
 it("a request takes over the connection of the probe before it", async () => {
--- a/packages/gateway/src/server_inquiry.ts
+++ b/packages/gateway/src/server_inquiry.ts
@@ -89,7 +89,8 @@
 export class ServerInquiry {
   readonly #options: ServerInquiryOptions;
   readonly #inquiries = new Map<string, Promise<boolean>>();
-  readonly #questions = new Map<string, Question>();
+  /** By server; attempts that ended in different ways may each ask. */
+  readonly #questions = new Map<string, Set<Question>>();
 
   constructor(options: ServerInquiryOptions) {
     this.#options = options;
@@ -120,7 +121,9 @@
         .service;
       const isCut = service !== undefined && unreached.includes(service);
       const finding = isReached ? "reached" : isCut ? "cut" : "not-reached";
-      this.#questions.get(server)?.add(from, finding);
+      for (const question of this.#questions.get(server) ?? []) {
+        question.add(from, finding);
+      }
     }
   }
 
@@ -155,7 +158,7 @@
         clearTimeout(timer);
         resolve(question);
       });
-      this.#questions.set(id, question);
+      this.#questions.set(id, this.#questionsOf(id).add(question));
       socket.send(peers.map(({ datagramAddress }) => datagramAddress), {
         kind: "reach",
         from: self,
@@ -164,10 +167,16 @@
         ...(sign === "silence" ? { isAfterSilence: true } : {}),
       });
     });
-    this.#questions.delete(id);
+    const questions = this.#questionsOf(id);
+    questions.delete(question);
+    if (questions.size === 0) this.#questions.delete(id);
     return question.findings;
   }
 
+  #questionsOf(server: string): Set<Question> {
+    return this.#questions.get(server) ?? new Set();
+  }
+
   /** Peers of as many failure domains as there are, others than the own first. */
   #choosePeers(): MemberRecord[] {
     const { peers, failureDomain, random } = this.#options;
--- a/packages/gateway/src/server_inquiry_test.ts
+++ b/packages/gateway/src/server_inquiry_test.ts
@@ -152,6 +152,19 @@
   expect(await isDownAfterSilence()).toBe(false);
 });
 
+// Guards against: two inquiries about a server take each other's answers, and
+// the server counts as down although a peer reaches it.
+it("inquiries after a break and after silence both get the findings", async () => {
+  const entry = addEntry("entry", "failed");
+  addEntry("peer", "answered");
+  const server = loads.get("a")!;
+  const results = await Promise.all([
+    entry.inquiry.isDown(server, "broken-connection"),
+    entry.inquiry.isDown(server, "silence"),
+  ]);
+  expect(results).toEqual([false, false]);
+});
+
 it("without peers that answer, another server that is reached decides", async () => {
   const entry = addEntry("entry", "failed");
   expect(await isDown(entry)).toBe(true);
--- a/packages/gateway/src/slot_exchange.ts
+++ b/packages/gateway/src/slot_exchange.ts
@@ -84,11 +84,14 @@
     ReturnType<typeof setTimeout>
   >();
 
+  #isStopped = false;
+
   constructor(options: SlotExchangeOptions) {
     this.#options = options;
   }
 
   stop(): void {
+    this.#isStopped = true;
     for (const timer of this.#repeatTimers.values()) clearTimeout(timer);
     this.#repeatTimers.clear();
   }
@@ -103,7 +106,7 @@
 
   /** A request waits for a server of the service. */
   recordWaiting(service: ServiceName): void {
-    if (!this.#options.isActive()) return;
+    if (this.#isStopped || !this.#options.isActive()) return;
     this.#waitedAt.set(service, this.#options.clock());
     if (this.#repeatTimers.has(service)) return;
     this.#tell(service, "own-domain");
--- a/packages/kernel/src/hedging.ts
+++ b/packages/kernel/src/hedging.ts
@@ -79,9 +79,9 @@
  */
 function isStuck(inputs: HedgeInputs): boolean {
   const { firstServer, elapsedMilliseconds } = inputs;
-  const slowdown = firstServer === undefined
-    ? 1
-    : firstServer.atStart ?? firstServer.current;
+  // Without an answer to the probe, the request may also just be slow.
+  if (firstServer === undefined) return false;
+  const slowdown = firstServer.atStart ?? firstServer.current;
   return elapsedMilliseconds >
     STUCK_FACTOR * inputs.serviceTimeMilliseconds * Math.max(1, slowdown);
 }
--- a/packages/kernel/src/placement_goal.ts
+++ b/packages/kernel/src/placement_goal.ts
@@ -5,9 +5,9 @@
  *
  * Answers load near the capacity of a service. An answer within the objective
  * is worth far more to a caller than a later one. A request that is late in any
- * case is sent while servers idle, but leaves a slot free on each server for
- * requests that can be in time. As all entries do so, these find room without
- * any message between the entries.
+ * case is sent while there is room, but once it had to wait it leaves a slot
+ * free on each server for requests that can be in time. As all entries do so,
+ * these find room without any message between the entries.
  */
 import type { SlotUse } from "./placement.ts";
 
@@ -27,6 +27,8 @@
   readonly remainingObjectiveMilliseconds: number;
   /** Time until the caller's deadline or the route's timeout. */
   readonly remainingMilliseconds: number;
+  /** Whether the request was queued, as no server had room. */
+  readonly hasWaited: boolean;
   /** Whether the request has waited in the queue for as long as it may. */
   readonly hasWaitedMaximum: boolean;
 };
@@ -70,6 +72,6 @@
     maximumExpectedMilliseconds: mustBeInTime
       ? firstAttemptLimitMilliseconds(remainingObjectiveMilliseconds)
       : remainingMilliseconds,
-    slotUse: isTimely ? "usual" : "spare",
+    slotUse: isTimely || !inputs.hasWaited ? "usual" : "spare",
   };
 }
--- a/packages/kernel/src/placement_goal_test.ts
+++ b/packages/kernel/src/placement_goal_test.ts
@@ -9,6 +9,7 @@
   serviceTimeMilliseconds: 100,
   remainingObjectiveMilliseconds: 300,
   remainingMilliseconds: 2_000,
+  hasWaited: false,
   hasWaitedMaximum: false,
 };
 
@@ -23,7 +24,10 @@
 // objective are refused while servers are idle.
 it("a request that is late in any case is sent if its deadline allows it", () => {
   for (const remainingObjectiveMilliseconds of [80, 0, -500]) {
-    expect(placementGoal({ ...INPUTS, remainingObjectiveMilliseconds }))
+    const late = { ...INPUTS, remainingObjectiveMilliseconds };
+    expect(placementGoal(late))
+      .toEqual({ maximumExpectedMilliseconds: 2_000, slotUse: "usual" });
+    expect(placementGoal({ ...late, hasWaited: true }))
       .toEqual({ maximumExpectedMilliseconds: 2_000, slotUse: "spare" });
   }
 });
