--- a/packages/gateway/src/connection_guard.ts
+++ b/packages/gateway/src/connection_guard.ts
@@ -43,8 +43,15 @@
 type GuardedConnection = {
   readonly slots: ConnectionSlots<Socket>;
   readonly responses: Set<ServerResponse>;
-  /** Bytes that had been read when the connection last became idle. */
-  readAtIdle: number;
+};
+
+/** What Node's server keeps at a connection, beside its documented parts. */
+type ParsingSocket = Socket & {
+  readonly parser?: {
+    onIncoming: unknown;
+    /** Names and values of a head that has not ended. */
+    readonly _headers?: readonly string[];
+  } | null;
 };
 
 const MEGABYTE = 1_048_576;
@@ -57,20 +64,22 @@
 const BUDGET_SHARE = 0.4;
 const MINIMUM_BUDGET_MEGABYTES = 2;
 const DEFAULT_DESCRIPTORS = 4_096;
-/** Together less than three quarters; servers and peers get the others. */
+/** The rest is for connections to servers and messages between entries. */
 const SHARE_OF_DESCRIPTORS: Readonly<Record<ServerRole, number>> = {
   calls: 1 / 2,
-  peers: 1 / 8,
+  // Beyond the largest fleet that was played, which has one for each peer.
+  peers: 3 / 16,
   auxiliary: 1 / 32,
 };
 /** Callers of the platform send one request at a time on a connection. */
 const DEFAULT_UNANSWERED = 64;
 const MAXIMUM_AUXILIARY_UNANSWERED = 16;
 const SWEEP_INTERVAL_MILLISECONDS = 50;
+/** Fewer connections cannot hold more than the budget of a small instance. */
+const MINIMUM_SWEPT_CONNECTIONS = 16;
 const MAXIMUM_BUFFERED_BODY_BYTES = 64 * 1024;
-/** Memory of an incomplete head of very short lines, for each received byte. */
-const MEMORY_OF_HEAD_BYTE = 16;
-const MAXIMUM_HEAD_BYTES = 128 * 1024;
+/** Memory of a name or value in a head that has not ended. */
+const HEAD_TEXT_BYTES = 40;
 
 function budgetBytes(memoryMegabytes: number | undefined): number {
   const heap = getHeapStatistics().heap_size_limit / MEGABYTE;
@@ -97,9 +106,7 @@
  * from a chunk.
  */
 function stopReading(socket: Socket): void {
-  const { parser } = socket as Socket & {
-    parser?: { onIncoming: unknown } | null;
-  };
+  const { parser } = socket as ParsingSocket;
   // Node stops reading a chunk at a request that switches the protocol.
   if (parser) parser.onIncoming = () => 2;
 }
@@ -151,16 +158,19 @@
     if (excess !== undefined) this.#close(excess, "connections", role);
     if (excess === socket) return;
     const connection = { slots, responses: new Set<ServerResponse>() };
-    this.#connections.set(socket, { ...connection, readAtIdle: 0 });
-    this.#sweepTimer ??= setInterval(
-      () => this.#sweep(),
-      SWEEP_INTERVAL_MILLISECONDS,
-    ).unref();
+    this.#connections.set(socket, connection);
+    if (this.#connections.size >= MINIMUM_SWEPT_CONNECTIONS) {
+      this.#sweepTimer ??= setInterval(
+        () => this.#sweep(),
+        SWEEP_INTERVAL_MILLISECONDS,
+      ).unref();
+    }
     socket.on("close", () => {
       slots.remove(socket);
       this.#connections.delete(socket);
       this.#budget.forget(socket);
       if (this.#connections.size === 0) {
+        // Below the minimum the last sweeps still release what was counted.
         clearInterval(this.#sweepTimer);
         this.#sweepTimer = undefined;
       }
@@ -185,8 +195,13 @@
     const maximumUnanswered = role === "auxiliary"
       ? MAXIMUM_AUXILIARY_UNANSWERED
       : unansweredRequests;
-    const cost = requestCost(sizeOf(request));
-    const decision = this.#budget.decide(socket, cost, maximumUnanswered);
+    const size = sizeOf(request);
+    const cost = requestCost(size);
+    const decision = this.#budget.decide(socket, {
+      cost,
+      headCost: requestCost({ ...size, bodyBytes: 0 }),
+      maximumUnanswered,
+    });
     if (decision === "close") {
       this.#close(socket, "unanswered-requests", role);
       return false;
@@ -229,24 +244,16 @@
     response.once("close", () => {
       responses.delete(response);
       this.#budget.remove(socket, bytes);
-      if (responses.size > 0) return;
-      connection.readAtIdle = socket.bytesRead;
-      slots.markIdle(socket);
+      if (responses.size === 0) slots.markIdle(socket);
     });
   }
 
   /** Counts bytes that callers do not read, and heads that are incomplete. */
   #sweep(): void {
-    for (const [socket, { responses, readAtIdle }] of this.#connections) {
-      let bytes = 0;
+    for (const [socket, { responses }] of this.#connections) {
+      const { parser } = socket as ParsingSocket;
+      let bytes = (parser?._headers?.length ?? 0) * HEAD_TEXT_BYTES;
       for (const { writableLength } of responses) bytes += writableLength;
-      if (responses.size === 0) {
-        const read = Math.min(
-          MAXIMUM_HEAD_BYTES,
-          socket.bytesRead - readAtIdle,
-        );
-        bytes = read * MEMORY_OF_HEAD_BYTE;
-      }
       this.#budget.setUnread(socket, bytes);
     }
     this.#closeExcess();
--- a/packages/kernel/src/evacuations.ts
+++ b/packages/kernel/src/evacuations.ts
@@ -112,7 +112,10 @@
       ? isProvisional && graceMilliseconds > 0 ||
         comparePositions(position, this.#completeTo) > 0
       : comparePositions(position, known) > 0;
-    if (!isNews) return false;
+    if (!isNews) {
+      this.#correct(told, now);
+      return false;
+    }
     this.#byDomain.set(failureDomain, {
       ...position,
       isEvacuated,
@@ -124,6 +127,23 @@
     return isEvacuated !== (known?.isEvacuated ?? false);
   }
 
+  /**
+   * Tells the fleet again that an evacuation has ended which an entry still
+   * tells: it may have missed the end, and others may believe it.
+   */
+  #correct(
+    { failureDomain, isEvacuated, graceMilliseconds }: ToldEvacuation,
+    now: number,
+  ): void {
+    const isKnown = this.#byDomain.has(failureDomain);
+    if (!isEvacuated || isKnown || graceMilliseconds !== undefined) return;
+    this.#byDomain.set(failureDomain, {
+      ...this.#completeTo,
+      isEvacuated: false,
+      changedAtMilliseconds: now,
+    });
+  }
+
   /** Records that all evacuations between two revisions of an era are known. */
   recordComplete(era: number, fromRevision: number, toRevision: number): void {
     const { era: knownEra, revision } = this.#completeTo;
--- a/packages/kernel/src/evacuations_test.ts
+++ b/packages/kernel/src/evacuations_test.ts
@@ -66,6 +66,17 @@
     isEvacuated,
   });
 
+  // Guards against: an entry that missed the end of an evacuation brings it
+  // back to entries of which no one knows better.
+  it("is told to have ended if an entry that knows all hears of it again", () => {
+    const evacuations = makeEvacuated();
+    evacuations.applyListing(listing({ revision: 25 }), 0);
+    expect(evacuations.told(60_000)).toEqual([]);
+    expect(evacuations.merge(told(true, 20), 60_000)).toBe(false);
+    expect(evacuations.isEvacuated("a")).toBe(false);
+    expect(evacuations.told(60_000)).toEqual([told(false, 25)]);
+  });
+
   it("is news beyond what is known completely, in any order", () => {
     fc.assert(fc.property(
       fc.shuffledSubarray([30, 31, 32, 33, 34], { minLength: 5 }),
--- a/packages/kernel/src/request_budget.ts
+++ b/packages/kernel/src/request_budget.ts
@@ -2,8 +2,8 @@
  * Memory that the requests in progress and the unread answers may use together,
  * by an estimate of their cost, and what follows when it is used up.
  *
- * Half of the budget is kept for small requests that are alone on their
- * connection, so that they still fit when others fill the rest.
+ * Half of the budget is kept for requests with small heads that are alone on
+ * their connection, so that they still fit when others fill the rest.
  */
 
 export type RequestSize = {
@@ -54,12 +54,16 @@
 
   decide(
     connection: Connection,
-    cost: number,
-    maximumUnanswered: number,
+    { cost, headCost, maximumUnanswered }: {
+      readonly cost: number;
+      /** The cost without the body, of which only a part may ever be held. */
+      readonly headCost: number;
+      readonly maximumUnanswered: number;
+    },
   ): RequestDecision {
     const unanswered = this.#held.get(connection)?.unanswered ?? 0;
     if (unanswered >= maximumUnanswered) return "close";
-    const isSmall = cost <= MAXIMUM_SMALL_REQUEST_BYTES;
+    const isSmall = headCost <= MAXIMUM_SMALL_REQUEST_BYTES;
     const isOrdinary = unanswered === 0 && isSmall;
     const share = isOrdinary ? 1 : SHARE_OF_OTHERS;
     const fits = this.#totalBytes === 0 ||
--- a/packages/kernel/src/request_budget_test.ts
+++ b/packages/kernel/src/request_budget_test.ts
@@ -16,7 +16,11 @@
 function makeBudget() {
   const budget = new RequestBudget<string>(BUDGET_BYTES);
   const send = (connection: string, cost: number) => {
-    const decision = budget.decide(connection, cost, MAXIMUM_UNANSWERED);
+    const decision = budget.decide(connection, {
+      cost,
+      headCost: cost,
+      maximumUnanswered: MAXIMUM_UNANSWERED,
+    });
     if (decision === "serve") budget.add(connection, cost);
     return decision;
   };
@@ -36,6 +40,16 @@
   expect(send("c", SMALL)).toBe("serve");
 });
 
+// Guards against: an upload with an ordinary head counts as one of the large
+// requests, and is refused while there is memory for it.
+it("a request with a large body fits where a small one does", () => {
+  const { budget, send } = makeBudget();
+  send("a", LARGE);
+  const body = { cost: SMALL + 64 * 1_024, headCost: SMALL };
+  const decision = { ...body, maximumUnanswered: MAXIMUM_UNANSWERED };
+  expect(budget.decide("b", decision)).toBe("serve");
+});
+
 it("too many unanswered requests close the connection", () => {
   const { budget, send } = makeBudget();
   for (let count = 0; count < MAXIMUM_UNANSWERED; count++) {
