--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -345,7 +345,9 @@
     this.zone = zone;
   }
 
-  async start({ store, seeds, ports, bounds = {}, memory = 350, descriptors = 4100 }) {
+  start(
+    { store, seeds, ports, bounds = {}, memory = 350, descriptors = 4100 },
+  ) {
     this.ports = ports;
     const at = (port) => `${this.ip}:${port}`;
     this.callAddress = at(ports.front);
@@ -464,7 +466,7 @@
   );
   const seeds = all.slice(0, 3).map(({ ip }) => `${ip}:${ports.control}`);
   for (const entry of all) {
-    await entry.start({ store, seeds, ports, ...entryOptions });
+    entry.start({ store, seeds, ports, ...entryOptions });
   }
   const deployment = { store, servers, entries: all };
   for (const entry of all) {
