--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -149,6 +149,12 @@
       queue: 12,
       workMilliseconds: 20,
       onRun: () => {},
+      /** Makes the body of an answer. */
+      bodyFor: (id) => `answer to ${id}`,
+      /** Whether answers are sent in chunks, without a declared length. */
+      isChunked: false,
+      /** Bytes after which an answer breaks off. */
+      breaksAfter: undefined,
       ...options,
     };
     this.http = createHttpServer((call, response) =>
@@ -236,13 +242,19 @@
       this.#next();
     };
     const timer = setTimeout(() => {
-      const text = `answer to ${id}`;
+      const text = this.options.bodyFor(id);
+      const { breaksAfter, isChunked } = this.options;
       response.writeHead(200, {
         ...echo,
         "Response-Signature": `signed-${id}`,
-        "Content-Length": text.length,
+        ...(isChunked ? {} : { "Content-Length": text.length }),
       });
-      response.end(text);
+      if (breaksAfter === undefined) response.end(text);
+      else {
+        response.write(text.slice(0, breaksAfter));
+        // The bytes must have left before the connection is closed.
+        setTimeout(() => response.destroy(), 100);
+      }
       end();
     }, this.options.workMilliseconds);
     response.on("close", end);
