--- a/review/harness-2/deployment.mjs
+++ b/review/harness-2/deployment.mjs
@@ -5,6 +5,7 @@
  * deploy file. The rest follows the users' pages and uses Node alone.
  */
 import { spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import {
   appendFileSync,
   mkdtempSync,
@@ -347,6 +348,15 @@
   };
 }
 
+const children = new Set();
+// Also where a script fails or is stopped, no process of it lives on.
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const name of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+  process.on(name, () => process.exit(2));
+}
+
 /** One process of the project, on a loopback address of its own. */
 export class Entry {
   output = "";
@@ -407,6 +417,9 @@
       },
       stdio: ["ignore", "pipe", "pipe"],
     });
+    const { child } = this;
+    children.add(child);
+    child.once("exit", () => children.delete(child));
     for (const stream of [this.child.stdout, this.child.stderr]) {
       stream.on("data", (chunk) => this.output += chunk);
     }
@@ -463,16 +476,19 @@
   store.put("op/config", config);
   for (const server of servers) await server.open(store);
   const ports = {};
-  const first = await freePort("127.0.0.41");
+  // Scripts that run at the same time use different addresses, as the deploy
+  // file fixes the port of the metrics.
+  const network = `127.${randomInt(1, 255)}.${randomInt(0, 255)}`;
+  const first = await freePort(`${network}.41`);
   for (const name of ["front", "readiness", "control", "directory"]) {
-    ports[name] = await freePort("127.0.0.41");
+    ports[name] = await freePort(`${network}.41`);
   }
   ports.first = first > 60_000 ? first - 2_000 : first;
   const all = Array.from(
     { length: entries },
     (_, index) =>
       new Entry(`entry-${index + 1}`, {
-        ip: `127.0.0.${41 + index}`,
+        ip: `${network}.${41 + index}`,
         zone: index % 2 === 0 ? "zone-a" : "zone-b",
       }),
   );
