--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # is nothing to compile, so they are only checked for syntax errors.
 set -e
 cd "$(dirname "$0")"
-for module in harness-2/*.mjs 6/*.mjs 7/*.mjs 8/*.mjs 9/*.mjs 10/*.mjs; do
+for module in harness-2/*.js 6/*.js 7/*.js 8/*.js 9/*.js 10/*.js; do
   if [ -f "$module" ]; then node --check "$module"; fi
 done
