--- a/review/harness-2/deployment.js
+++ b/review/harness-2/deployment.js
@@ -309,12 +309,17 @@
   };
 }
 
-async function freePort(host) {
-  const server = createTcpServer();
-  await new Promise((resolve) => server.listen(0, host, resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+/** Ports that are free at the same time. */
+async function freePorts(host, count) {
+  const servers = Array.from({ length: count }, () => createTcpServer());
+  for (const server of servers) {
+    await new Promise((resolve) => server.listen(0, host, resolve));
+  }
+  const ports = servers.map((server) => server.address().port);
+  for (const server of servers) {
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return ports;
 }
 
 function valueAt(fields, path) {
@@ -475,15 +480,15 @@
   await store.open();
   store.put("op/config", config);
   for (const server of servers) await server.open(store);
-  const ports = {};
   // Scripts that run at the same time use different addresses, as the deploy
   // file fixes the port of the metrics.
   const network = `127.${randomInt(1, 255)}.${randomInt(0, 255)}`;
-  const first = await freePort(`${network}.41`);
-  for (const name of ["front", "readiness", "control", "directory"]) {
-    ports[name] = await freePort(`${network}.41`);
-  }
-  ports.first = first > 60_000 ? first - 2_000 : first;
+  const [front, readiness, control, directory, next] = await freePorts(
+    `${network}.41`,
+    5,
+  );
+  // The settings name a range, of which the second port takes TCP.
+  const ports = { front, readiness, control, directory, first: next - 1 };
   const all = Array.from(
     { length: entries },
     (_, index) =>
