--- a/review/harness-2/deployment.js
+++ b/review/harness-2/deployment.js
@@ -154,8 +154,8 @@
       bodyFor: (id) => `answer to ${id}`,
       /** Whether answers are sent in chunks, without a declared length. */
       isChunked: false,
-      /** Bytes after which an answer breaks off. */
-      breaksAfter: undefined,
+      /** Bytes after which an answer breaks off; undefined for a whole one. */
+      breaksAfter: () => undefined,
       ...options,
     };
     this.http = createHttpServer((call, response) =>
@@ -244,7 +244,8 @@
     };
     const timer = setTimeout(() => {
       const text = this.options.bodyFor(id);
-      const { breaksAfter, isChunked } = this.options;
+      const { isChunked } = this.options;
+      const breaksAfter = this.options.breaksAfter(id);
       response.writeHead(200, {
         ...echo,
         "Response-Signature": `signed-${id}`,
