Routes are looked up by segments, so that long paths take no longer than their length

Cause: the look-up tried the beginning of the path at each slash, from the longest one on, and hashed all of it each time.

Change: the prefixes of a host form a tree of segments. A look-up follows it no deeper than the longest prefix.

--- a/packages/kernel/src/snapshot_router.ts
+++ b/packages/kernel/src/snapshot_router.ts
@@ -16,12 +16,21 @@
 /** A rotation of whole percentages repeats after this many turns. */
 const ROTATION_TURNS = 100;
 
+/**
+ * Routes by the segments of their prefixes, each of which ends with a slash. A
+ * look-up goes no deeper than the longest prefix, however long the path is.
+ */
+type RouteNode = {
+  readonly children: Map<string, RouteNode>;
+  route?: SnapshotRoute;
+};
+
 type Rotation = { readonly signature: string; readonly credits: number[] };
 
 export class SnapshotRouter {
   readonly #random: RandomSource;
   #snapshot: RoutingSnapshot | undefined;
-  #routesByHost = new Map<string, Map<string, SnapshotRoute>>();
+  #routesByHost = new Map<string, RouteNode>();
   #services = new Map<ServiceName, SnapshotService>();
   #rotations = new Map<string, Rotation>();
 
@@ -55,18 +64,19 @@
 
   /** The route of the host with the longest prefix of `path`. */
   match(host: string, path: string): SnapshotRoute | undefined {
-    const routes = this.#routesByHost.get(normalizeHost(host));
-    if (routes === undefined) return undefined;
+    let node = this.#routesByHost.get(normalizeHost(host));
     const query = path.indexOf("?");
-    const pathname = query < 0 ? path : path.slice(0, query);
-    let end = pathname.lastIndexOf("/");
-    while (end >= 0) {
-      const route = routes.get(pathname.slice(0, end + 1));
-      if (route !== undefined) return route;
-      if (end === 0) return undefined;
-      end = pathname.lastIndexOf("/", end - 1);
+    const pathEnd = query < 0 ? path.length : query;
+    let longest: SnapshotRoute | undefined;
+    let start = 0;
+    while (node !== undefined) {
+      const end = path.indexOf("/", start);
+      if (end < 0 || end >= pathEnd) break;
+      node = node.children.get(path.slice(start, end));
+      longest = node?.route ?? longest;
+      start = end + 1;
     }
-    return undefined;
+    return longest;
   }
 
   /** The next service in the rotation of a route. */
@@ -126,17 +136,24 @@
 
 function indexRoutes(
   routes: readonly SnapshotRoute[],
-): Map<string, Map<string, SnapshotRoute>> {
-  const byHost = new Map<string, Map<string, SnapshotRoute>>();
+): Map<string, RouteNode> {
+  const byHost = new Map<string, RouteNode>();
   for (const route of routes) {
     const host = normalizeHost(route.host);
-    let prefixes = byHost.get(host);
-    if (prefixes === undefined) byHost.set(host, prefixes = new Map());
-    prefixes.set(route.pathPrefix, route);
+    const segments = route.pathPrefix.split("/").slice(0, -1);
+    let node = childOf(byHost, host);
+    for (const segment of segments) node = childOf(node.children, segment);
+    node.route = route;
   }
   return byHost;
 }
 
+function childOf(nodes: Map<string, RouteNode>, key: string): RouteNode {
+  let node = nodes.get(key);
+  if (node === undefined) nodes.set(key, node = { children: new Map() });
+  return node;
+}
+
 /** Lower case, without a port. */
 export function normalizeHost(host: string): string {
   return host.toLowerCase().replace(/:\d+$/, "");
--- a/packages/kernel/src/snapshot_router_test.ts
+++ b/packages/kernel/src/snapshot_router_test.ts
@@ -1,6 +1,7 @@
 /**
  * Tests of routing by host, longest prefix and weight.
  */
+import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import type { RoutingSnapshot, SnapshotRoute } from "./routing_snapshot.ts";
 import { SnapshotRouter } from "./snapshot_router.ts";
@@ -52,6 +53,31 @@
     expect(router.match("none.example", "/a/")).toBeUndefined();
   });
 
+  // Guards against: a match that differs from comparing with every prefix.
+  it("finds what a comparison with all prefixes finds", () => {
+    const segments = fc.constantFrom("", "a", "b", "..", "%2f");
+    const pathOf = (parts: readonly string[]) => `/${parts.join("/")}`;
+    const prefixOf = (parts: readonly string[]) =>
+      parts.length === 0 ? "/" : `${pathOf(parts)}/`;
+    fc.assert(
+      fc.property(
+        fc.uniqueArray(fc.array(segments, { maxLength: 4 }).map(prefixOf)),
+        fc.array(segments, { maxLength: 6 }).map(pathOf),
+        (prefixes, path) => {
+          const router = new SnapshotRouter(() => 0);
+          const routes = prefixes.map((pathPrefix) =>
+            route({ name: pathPrefix, pathPrefix })
+          );
+          router.adopt(snapshot(1, routes));
+          const expected = prefixes.filter((prefix) => path.startsWith(prefix))
+            .toSorted((left, right) => right.length - left.length)[0];
+          expect(router.match("shop.example", path)?.name).toBe(expected);
+        },
+      ),
+      { seed: 1 },
+    );
+  });
+
   it("never goes back to an older version", () => {
     const router = new SnapshotRouter(() => 0);
     expect(router.adopt(snapshot(5, [route({ name: "new" })]))).toBe(true);
