HTTP/1.0 callers are not given answers whose break they could not tell

Cause: streamed answers of chunks were sent on without framing, and a break, the deadline or the end of the entry closed the connection in the same way as the end of the answer.

Change: a streamed answer without a length is refused with 505 to HTTP/1.0 callers. A reset in place of the close was weighed: it does not cover an entry that is killed.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -26,6 +26,7 @@
   | "peers-refused"
   | "quarantined"
   | "attempt-broken"
+  | "answer-without-length"
   | "time-out";
 
 /** Answer of the entry itself, if none of a backend server can be forwarded. */
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -47,6 +47,15 @@
     endAfterRequest(this.#options.response, hasBody ? body : undefined);
   }
 
+  /**
+   * Whether the caller can tell that a streamed answer breaks off. To HTTP/1.0
+   * callers an answer without a length ends with its connection.
+   */
+  canStream({ head }: StreamedAnswer): boolean {
+    return this.#options.request.httpVersion !== "1.0" ||
+      head.headers["content-length"] !== undefined;
+  }
+
   /**
    * Forwards an answer while it arrives, as fast as the caller reads it.
    * `onEnd` is called with its size once all of it has arrived; the answer must
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -553,6 +553,9 @@
 
   #onStreamedAnswer(attempt: ServerAttempt, answer: StreamedAnswer): void {
     if (this.#hasEnded) return attempt.cancel();
+    if (!this.#writer.canStream(answer)) {
+      return this.#refuse({ status: 505, cause: "answer-without-length" });
+    }
     this.#cancelAttemptsExcept(attempt);
     this.#hedgeTimer.stop();
     const { registration } = attempt.server;
