--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/callers/request_body.ts
@@ -4,6 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import { MAXIMUM_BUFFERED_BODY_BYTES } from "./request_head.ts";
 
 /** A body held in memory, or one that is still arriving. */
 export type RequestBody =
@@ -21,8 +22,6 @@
   readonly onTooLarge: () => void;
 };
 
-/** Bodies up to this size are buffered so that they can be sent again. */
-const MAXIMUM_BUFFERED_BODY_BYTES = 64 * 1024;
 /** More chunks are merged, as each takes memory beside its bytes. */
 const MAXIMUM_BUFFERED_CHUNKS = 256;
 
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -8,7 +8,7 @@
 import type { SnapshotRouter } from "@marigoldford/kernel/snapshot_router";
 import type { Clock } from "@marigoldford/kernel/types";
 import type { CallerProtocol } from "./caller_protocol.ts";
-import type { ConnectionGuard } from "./connection_guard.ts";
+import type { ConnectionGuard } from "./callers/connection_guard.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import type { DiscoverySynchronizer } from "./discovery_synchronizer.ts";
 import type { WriteEvent } from "./events.ts";
--- a/packages/gateway/src/forwarded_headers.ts
+++ b/packages/gateway/src/forwarded_headers.ts
@@ -6,7 +6,7 @@
 import { ATTEMPTS_LEFT_HEADER } from "./admission.ts";
 import type { ProtocolHeaders } from "./caller_protocol.ts";
 import { copyEndToEndHeaders } from "./raw_headers.ts";
-import type { RequestBody } from "./request_body.ts";
+import type { RequestBody } from "./callers/request_body.ts";
 import { FRAMING_HEADERS, framingHeaders } from "./request_framing.ts";
 
 export type ForwardedHeadersInputs = {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import type { Address } from "@marigoldford/kernel/types";
 import { EventLog } from "@marigoldford/logger/event_log";
 import { CALLER_PROTOCOLS, type CallerProtocol } from "./caller_protocol.ts";
-import { ConnectionGuard } from "./connection_guard.ts";
+import { ConnectionGuard } from "./callers/connection_guard.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DatagramSocket } from "./datagram_socket.ts";
 import { logChange } from "./discovery_change_log.ts";
--- a/packages/gateway/src/plug_ins.ts
+++ b/packages/gateway/src/plug_ins.ts
@@ -7,7 +7,7 @@
  */
 import type { Address } from "@marigoldford/kernel/types";
 import { PlugInRegistry } from "@marigoldford/kernel/plug_ins";
-import type { ConnectionGuard } from "./connection_guard.ts";
+import type { ConnectionGuard } from "./callers/connection_guard.ts";
 import type { DiscoverySource } from "./discovery_source.ts";
 import type { WriteEvent } from "./events.ts";
 import type { GatewayOptions } from "./options.ts";
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -52,7 +52,7 @@
 } from "./failure.ts";
 import { forwardedHeaders } from "./forwarded_headers.ts";
 import { HedgeTimer } from "./hedge_timer.ts";
-import { readBody, type RequestBody } from "./request_body.ts";
+import { readBody, type RequestBody } from "./callers/request_body.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import {
--- a/packages/gateway/src/request_exchange_test.ts
+++ b/packages/gateway/src/request_exchange_test.ts
@@ -17,7 +17,7 @@
   makeHeaderProtocol,
   type StatementReader,
 } from "./caller_protocol.ts";
-import { ConnectionGuard } from "./connection_guard.ts";
+import { ConnectionGuard } from "./callers/connection_guard.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import { GatewayMetrics } from "./metrics.ts";
--- a/packages/gateway/src/request_fingerprint.ts
+++ b/packages/gateway/src/request_fingerprint.ts
@@ -3,7 +3,7 @@
  * servers is recognized when it comes again with another id.
  */
 import type { IncomingMessage } from "node:http";
-import type { RequestBody } from "./request_body.ts";
+import type { RequestBody } from "./callers/request_body.ts";
 
 /**
  * Equal for requests that differ only in their headers other than the host. A
--- a/packages/gateway/src/request_framing.ts
+++ b/packages/gateway/src/request_framing.ts
@@ -6,7 +6,7 @@
  * further requests (RFC 9112, sections 6 and 11.2).
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { RequestBody } from "./request_body.ts";
+import type { RequestBody } from "./callers/request_body.ts";
 
 /** Headers of the caller that `framingHeaders` replaces. */
 export const FRAMING_HEADERS = ["content-length", "transfer-encoding"] as const;
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -18,7 +18,7 @@
 import { limitBytesBeforeAnswer } from "@marigoldford/http_answers/head_limit";
 import { isValidStatus } from "@marigoldford/http_answers/valid_status";
 import { type CallerProtocol, headerValue } from "./caller_protocol.ts";
-import type { RequestBody } from "./request_body.ts";
+import type { RequestBody } from "./callers/request_body.ts";
 import type { CrashSign } from "./server_inquiry.ts";
 import {
   detectReset,
--- a/packages/gateway/src/text_server.ts
+++ b/packages/gateway/src/text_server.ts
@@ -8,7 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Address } from "@marigoldford/kernel/types";
-import { ConnectionGuard } from "./connection_guard.ts";
+import { ConnectionGuard } from "./callers/connection_guard.ts";
 import { listenAt } from "./listen.ts";
 import type { AuxiliaryServer } from "./plug_ins.ts";
 
