What a connection holds counts until it has closed, and late callers give way

Cause: the account of a request ended with its response, or as soon as its connection was to be closed, before what it held was free: parts of bodies that the listeners of an ended exchange kept, and the requests of all connections that Node reads in one turn of the event loop. A request whose body was missing counted as ordinary.

Change: an exchange that ends, or an attempt that takes over a streamed body, releases it. A connection that is being closed counts until its responses are closed, and one whose body is missing counts after its answer.

--- a/packages/gateway/src/callers/connection_guard.ts
+++ b/packages/gateway/src/callers/connection_guard.ts
@@ -14,6 +14,7 @@
   REFUSED_REQUEST_BYTES,
   RequestBudget,
   requestCost,
+  type RequestDecision,
 } from "@marigoldford/kernel/request_budget";
 import type { WriteEvent } from "../events.ts";
 import type { GatewayMetrics } from "../metrics.ts";
@@ -46,9 +47,17 @@
   readonly requestIdHeader?: string;
 };
 
+type DecidedSize = {
+  readonly cost: number;
+  readonly headCost: number;
+  readonly maximumUnanswered: number;
+};
+
 const SWEEP_INTERVAL_MILLISECONDS = 50;
 /** Fewer connections cannot hold more than the budget of a small instance. */
 const MINIMUM_SWEPT_CONNECTIONS = 16;
+/** Late callers mostly hold as much as the request that needs the room. */
+const MAXIMUM_CLOSED_TO_MAKE_ROOM = 4;
 /** Memory of a name or value in a head that has not ended. */
 const HEAD_TEXT_BYTES = 40;
 
@@ -56,6 +65,7 @@
   readonly #options: GuardOptions;
   readonly #budget: RequestBudget<Socket>;
   readonly #connections = new Map<Socket, GuardedConnection>();
+  readonly #heldBytes = new WeakMap<ServerResponse, number>();
   #sweepTimer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: GuardOptions) {
@@ -74,6 +84,7 @@
   attach(server: Server, role: ServerRole, handlers: GuardedHandlers): void {
     const slots = new ConnectionSlots<Socket>(
       maximumConnections(this.#options.limits, role),
+      (socket) => this.#connections.get(socket)?.debt.lateMilliseconds ?? 0,
     );
     // By default, Node drops header lines after the first thousand.
     server.maxHeadersCount = 0;
@@ -113,7 +124,6 @@
     socket.on("close", () => {
       slots.remove(socket);
       this.#connections.delete(socket);
-      this.#budget.forget(socket);
       if (this.#connections.size === 0) {
         // Below the minimum the last sweeps still release what was counted.
         clearInterval(this.#sweepTimer);
@@ -122,6 +132,7 @@
       // Node closes only the response whose turn it is.
       setImmediate(() => {
         for (const response of connection.responses) response.emit("close");
+        this.#budget.forget(socket);
       });
     });
   }
@@ -139,7 +150,7 @@
     }
     const size = sizeOf(request);
     const cost = requestCost(size);
-    const decision = this.#budget.decide(socket, {
+    const decision = this.#decide(socket, {
       cost,
       headCost: requestCost({ ...size, bodyBytes: 0 }),
       maximumUnanswered: maximumUnanswered(this.#options.limits, role),
@@ -152,7 +163,7 @@
     const isCheap = isRefused || refuse === undefined;
     const held = isCheap ? REFUSED_REQUEST_BYTES : cost;
     this.#hold(connection, request, response, held);
-    this.#closeExcess();
+    this.#closeExcess(socket);
     if (socket.destroyed) return false;
     const { host, [requestIdHeader]: id } = request.headers;
     if (host === undefined && request.httpVersion === "1.1") {
@@ -171,6 +182,21 @@
     return false;
   }
 
+  /** Closes connections of late callers, as far as that makes room. */
+  #decide(socket: Socket, size: DecidedSize): RequestDecision {
+    let decision = this.#budget.decide(socket, size);
+    for (let closed = 0; closed < MAXIMUM_CLOSED_TO_MAKE_ROOM; closed++) {
+      if (decision === "serve" || decision === "close") break;
+      const late = this.#budget.connectionToMakeRoom(socket);
+      if (late === undefined) break;
+      this.#close(late, "late");
+      // It has one request at most, whose memory is free at once.
+      this.#budget.forget(late);
+      decision = this.#budget.decide(socket, size);
+    }
+    return decision;
+  }
+
   #hold(
     connection: GuardedConnection,
     request: IncomingMessage,
@@ -179,34 +205,63 @@
   ): void {
     const { socket, responses } = connection;
     this.#budget.add(socket, bytes);
+    this.#heldBytes.set(response, bytes);
     connection.addRequest(request, response);
     response.once("close", () => {
       responses.delete(response);
-      this.#budget.remove(socket, bytes);
-      if (responses.size === 0) connection.slots.markIdle(socket);
+      this.#release(response);
+      if (request.complete || socket.destroyed) {
+        return connection.endRequest(request);
+      }
+      // The rest of the request is still to be read.
+      this.#budget.add(socket, REFUSED_REQUEST_BYTES);
+      request.once("close", () => {
+        this.#budget.remove(socket, REFUSED_REQUEST_BYTES);
+        connection.endRequest(request);
+      });
     });
   }
 
-  /** Counts bytes that callers do not read, and heads that are incomplete. */
+  /** Counts memory that a request holds beyond what its head announced. */
+  extend(response: ServerResponse, bytes: number): void {
+    const held = this.#heldBytes.get(response);
+    if (held === undefined) return;
+    this.#heldBytes.set(response, held + bytes);
+    this.#budget.extend(response.req.socket, bytes);
+    this.#closeExcess();
+  }
+
+  #release(response: ServerResponse): void {
+    const bytes = this.#heldBytes.get(response) ?? 0;
+    this.#heldBytes.delete(response);
+    this.#budget.remove(response.req.socket, bytes);
+  }
+
+  /**
+   * Counts bytes that callers do not read, and heads that are incomplete, and
+   * finds out who is late.
+   */
   #sweep(): void {
+    const now = performance.now();
     for (const [socket, connection] of this.#connections) {
-      const { unreadBytes, incompleteHeadTexts } = connection;
+      const { unreadBytes, incompleteHeadTexts, debt } = connection;
+      connection.updateDebt(unreadBytes, now);
       const bytes = unreadBytes + incompleteHeadTexts * HEAD_TEXT_BYTES;
-      this.#budget.setUnread(socket, bytes);
+      this.#budget.setUnread(socket, bytes, debt.lateMilliseconds);
     }
     this.#closeExcess();
   }
 
-  #closeExcess(): void {
+  #closeExcess(current?: Socket): void {
     for (;;) {
-      const socket = this.#budget.connectionToClose();
+      const socket = this.#budget.connectionToClose(current);
       if (socket === undefined) return;
       this.#close(socket, "memory");
     }
   }
 
   #close(socket: Socket, reason: string, role?: ServerRole): void {
-    this.#budget.forget(socket);
+    this.#budget.markClosing(socket);
     this.#connections.get(socket)?.stopReading();
     socket.destroy();
     this.#options.metrics?.incrementCounter("guard_connections_closed");
--- a/packages/gateway/src/callers/guarded_connection.ts
+++ b/packages/gateway/src/callers/guarded_connection.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { CallerDebt } from "@marigoldford/kernel/caller_debt";
 import type { ConnectionSlots } from "@marigoldford/kernel/connection_slots";
 
 /** What Node's server keeps at a connection, beside its documented parts. */
@@ -20,6 +21,7 @@
   readonly slots: ConnectionSlots<Socket>;
   /** Responses that are not closed, in the order of their requests. */
   readonly responses = new Set<ServerResponse>();
+  readonly debt = new CallerDebt();
   /** Whether no further request is answered, and the last answer closes it. */
   isEnding = false;
   #lastRequest: IncomingMessage | undefined;
@@ -52,6 +54,24 @@
     return (this.socket as ParsingSocket).parser?._headers?.length ?? 0;
   }
 
+  updateDebt(unreadBytes: number, now: number): void {
+    const { bytesRead, bytesWritten, writableLength } = this.socket;
+    // A body that is not being read is not late.
+    const owesBody = this.isBodyMissing && !this.socket.isPaused();
+    this.debt.update(
+      owesBody || unreadBytes > 0,
+      bytesRead + bytesWritten - writableLength,
+      now,
+    );
+  }
+
+  /** A request has been read and answered. */
+  endRequest(request: IncomingMessage): void {
+    if (this.#lastRequest === request) this.#lastRequest = undefined;
+    if (this.responses.size > 0 || this.isBodyMissing) return;
+    this.slots.markIdle(this.socket);
+  }
+
   /**
    * Lets no further request be read, also while Node reads them from a received
    * block.
--- a/packages/gateway/src/callers/request_body.ts
+++ b/packages/gateway/src/callers/request_body.ts
@@ -11,7 +11,8 @@
   | { readonly kind: "buffered"; readonly bytes: Buffer }
   | {
     readonly kind: "stream";
-    readonly bufferedChunks: readonly Buffer[];
+    /** The part that has been read; the caller of this must send it. */
+    readonly takeBuffered: () => readonly Buffer[];
     readonly source: IncomingMessage;
   };
 
@@ -30,34 +31,51 @@
     (headers["content-length"] ?? "0") !== "0";
 }
 
+/**
+ * Returns a function that stops reading and releases what has been read, for a
+ * request that is not sent any more.
+ */
 export function readBody(
   request: IncomingMessage,
   maximumBytes: number,
   { onBody, onTooLarge }: BodyHooks,
-): void {
+): () => void {
   if (!hasBody(request)) {
-    return onBody({ kind: "buffered", bytes: Buffer.alloc(0) });
+    onBody({ kind: "buffered", bytes: Buffer.alloc(0) });
+    return () => {};
   }
-  const chunks: Buffer[] = [];
+  let chunks: Buffer[] = [];
   let received = 0;
+  const takeBuffered = () => {
+    const taken = chunks;
+    chunks = [];
+    return taken;
+  };
   const onData = (chunk: Buffer) => {
     chunks.push(chunk);
     received += chunk.byteLength;
     if (chunks.length > MAXIMUM_BUFFERED_CHUNKS) {
-      chunks.splice(0, chunks.length, Buffer.concat(chunks));
+      chunks = [Buffer.concat(chunks)];
     }
     if (received <= MAXIMUM_BUFFERED_BODY_BYTES) return;
-    request.off("data", onData);
-    request.off("end", onEnd);
+    stopBuffering();
     request.pause();
     limitStreamedBytes(request, received, { maximumBytes, onTooLarge });
-    onBody({ kind: "stream", bufferedChunks: chunks, source: request });
+    onBody({ kind: "stream", takeBuffered, source: request });
   };
   const onEnd = () => {
-    onBody({ kind: "buffered", bytes: Buffer.concat(chunks) });
+    onBody({ kind: "buffered", bytes: Buffer.concat(takeBuffered()) });
+  };
+  const stopBuffering = () => {
+    request.off("data", onData);
+    request.off("end", onEnd);
   };
   request.on("data", onData);
   request.on("end", onEnd);
+  return () => {
+    stopBuffering();
+    takeBuffered();
+  };
 }
 
 function limitStreamedBytes(
--- a/packages/gateway/src/request_exchange.ts
+++ b/packages/gateway/src/request_exchange.ts
@@ -66,6 +66,8 @@
  * may be wasted, so large answers are not moved for it.
  */
 const MAXIMUM_HEDGE_CROSS_DOMAIN_COST_OBJECTIVES = 0.3;
+/** Two received blocks, on their way from the caller to the server. */
+const STREAMED_BODY_BYTES = 128 * 1_024;
 /** A request that crashes backend servers should not be retried soon. */
 const QUARANTINE_RETRY_AFTER_SECONDS = 30;
 
@@ -82,6 +84,7 @@
   /** Set once the request is admitted; the body once it has been read. */
   #admission!: Admission;
   #body!: RequestBody;
+  #releaseBody: () => void = () => {};
   #hedgeTimer!: HedgeTimer;
   #deadlineAtMilliseconds = Infinity;
   #deadlineTimer: ReturnType<typeof setTimeout> | undefined;
@@ -153,9 +156,12 @@
       timeLimitMilliseconds - this.#elapsedMilliseconds,
     );
     this.#hedgeTimer = this.#makeHedgeTimer();
-    readBody(this.#request, maximumBodyBytes, {
+    this.#releaseBody = readBody(this.#request, maximumBodyBytes, {
       onBody: (body) => {
         this.#body = body;
+        if (body.kind === "stream") {
+          this.#context.guard.extend(this.#response, STREAMED_BODY_BYTES);
+        }
         if (!this.#hasEnded) this.#onBody();
       },
       onTooLarge: () => this.#onBodyTooLarge(),
@@ -701,6 +707,7 @@
     this.#hasEnded = true;
     clearTimeout(this.#deadlineTimer);
     this.#hedgeTimer?.stop();
+    this.#releaseBody();
     if (this.#queuedRequest !== undefined) {
       this.#context.services.queueOf(this.#service).remove(this.#queuedRequest);
     }
--- a/packages/gateway/src/server_attempt.ts
+++ b/packages/gateway/src/server_attempt.ts
@@ -326,7 +326,7 @@
       this.#request.end(body.bytes);
       return;
     }
-    for (const chunk of body.bufferedChunks) this.#request.write(chunk);
+    for (const chunk of body.takeBuffered()) this.#request.write(chunk);
     body.source.pipe(this.#request);
   }
 
--- a/packages/http_answers/src/end_after_request.ts
+++ b/packages/http_answers/src/end_after_request.ts
@@ -2,10 +2,11 @@
  * Ends an answer that is given before its request has been read completely.
  *
  * The rest of the request is discarded: on a connection that stays open, the
- * next request follows it. If the connection is to be closed, closing it at
- * once would reset it, because bytes of the request are unread. The reset makes
- * the caller's own write fail and discards the answer that it has not read yet
- * (RFC 9112, section 9.6).
+ * next request follows it. If the rest stalls, the connection is closed.
+ *
+ * If the connection is to be closed, closing it at once would reset it, because
+ * bytes of the request are unread. The reset makes the caller's own write fail
+ * and discards the answer that it has not read yet (RFC 9112, section 9.6).
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -20,11 +21,16 @@
     response.getHeader("Connection") === "close";
 }
 
-/** Reads the rest of a request; returns a function that stops the count. */
+type Discarding = {
+  readonly bytes: () => number;
+  /** Stops the count. */
+  readonly stop: () => void;
+};
+
 function discardRest(
   request: IncomingMessage,
   onTooMuch: () => void,
-): () => void {
+): Discarding {
   let discardedBytes = 0;
   const onData = (chunk: Buffer) => {
     discardedBytes += chunk.byteLength;
@@ -34,7 +40,36 @@
   // A destination that is being destroyed would pause the request.
   request.unpipe();
   request.resume();
-  return () => request.off("data", onData);
+  return {
+    bytes: () => discardedBytes,
+    stop: () => request.off("data", onData),
+  };
+}
+
+/** Discards the rest on a connection that stays open, unless it stalls. */
+function discardBeforeNextRequest(request: IncomingMessage): void {
+  const { socket } = request;
+  const end = () => request.destroy();
+  const discarding = discardRest(request, end);
+  let discardedBytes = 0;
+  const timer = setInterval(() => {
+    const isStalled = discarding.bytes() === discardedBytes;
+    discardedBytes = discarding.bytes();
+    if (isStalled) end();
+  }, MAXIMUM_DISCARD_MILLISECONDS).unref();
+  const stop = () => {
+    clearInterval(timer);
+    request.off("end", stop);
+    socket.off("close", stop);
+  };
+  request.once("end", stop);
+  socket.once("close", stop);
+}
+
+/** A request without a body is not complete yet while its head is handled. */
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    (headers["content-length"] ?? "0") !== "0";
 }
 
 /**
@@ -49,18 +84,20 @@
   const request = response.req;
   if (request.complete || !closesConnection(response)) {
     response.end(lastPart);
-    if (!request.complete) discardRest(request, () => request.destroy());
+    if (request.complete) return;
+    if (hasBody(request)) discardBeforeNextRequest(request);
+    else request.resume();
     return;
   }
   if (lastPart !== undefined) response.write(lastPart);
   else response.flushHeaders();
   const end = () => {
     clearTimeout(timer);
-    stopCounting();
+    discarding.stop();
     if (!response.writableEnded) response.end();
   };
   const timer = setTimeout(end, MAXIMUM_DISCARD_MILLISECONDS);
   request.once("end", end);
   request.once("close", end);
-  const stopCounting = discardRest(request, end);
+  const discarding = discardRest(request, end);
 }
--- a/packages/kernel/src/request_budget_test.ts
+++ b/packages/kernel/src/request_budget_test.ts
@@ -73,3 +73,43 @@
   budget.remove("a", SMALL);
   expect(budget.heldBytes).toBe(0);
 });
+
+// Guards against: requests whose bodies are missing count as ordinary, and the
+// next request is refused in their favour.
+it("a late caller gives way to a request that is alone", () => {
+  const { budget, send } = makeBudget();
+  send("a", LARGE);
+  send("b", SMALL);
+  budget.setUnread("a", 0, 500);
+  expect(budget.connectionToMakeRoom("c")).toBeUndefined();
+  budget.setUnread("a", 0, 5_000);
+  expect(budget.connectionToMakeRoom("b")).toBeUndefined();
+  expect(budget.connectionToMakeRoom("c")).toBe("a");
+});
+
+it("a late caller is closed before one that holds somewhat more", () => {
+  const { budget, send } = makeBudget();
+  send("a", LARGE);
+  send("b", SMALL);
+  budget.setUnread("b", 2 * LARGE);
+  budget.setUnread("a", LARGE, 5_000);
+  expect(budget.connectionToClose()).toBe("a");
+  budget.setUnread("b", 20 * LARGE);
+  expect(budget.connectionToClose()).toBe("b");
+});
+
+// Guards against: memory that counts as free while a closed connection's
+// requests still hold it, so that many connections use it at the same time.
+it("a connection that is being closed holds its memory until it is forgotten", () => {
+  const { budget, send } = makeBudget();
+  budget.add("a", 2 * BUDGET_BYTES);
+  budget.markClosing("a");
+  expect(send("b", SMALL)).toBe("refuse");
+  budget.add("b", SMALL);
+  expect(budget.connectionToClose("b")).toBeUndefined();
+  budget.add("b", SMALL);
+  expect(budget.connectionToClose()).toBeUndefined();
+  expect(budget.connectionToClose("b")).toBe("b");
+  budget.forget("a");
+  expect(budget.heldBytes).toBe(2 * SMALL);
+});
