Requests sent ahead, small chunks and discarded bodies are read in turns

Bodies in chunks of one byte ended an entry within seconds (60 callers). Callers who sent large heads ahead, 60 of them, left 12 of 12 ordinary requests without an answer for 1.5 s, while the process lived.

Cause: Node's parser delivers each chunk as a buffer, which was queued and sent on by itself: 64 KiB of such chunks take megabytes. And Node reads up to 32 blocks of 64 KiB of a connection in a row, and handles all that they hold, before the next connection has its turn: an event loop delay of 0.34 s at a time with 13,000 requests a second. What is read to be discarded is garbage faster than it is collected.

Connections wait for their turn when they send ahead (a fifth of the time of a core for all), send small chunks (setting limits.smallChunksPerSecond) or bodies that are discarded. A caller that sends one request at a time never waits. Auxiliary servers close such connections, and keep 128 header lines. What node resumes by itself stays paused until the turn.

--- a/packages/gateway/src/callers/connection_guard.ts
+++ b/packages/gateway/src/callers/connection_guard.ts
@@ -25,8 +25,15 @@
   maximumUnanswered,
   type ServerRole,
 } from "./guard_limits.ts";
-import { releaseHead, sizeOf } from "./request_head.ts";
+import {
+  MAXIMUM_BUFFERED_BODY_BYTES,
+  releaseHead,
+  sizeOf,
+} from "./request_head.ts";
+import { BodyPacing } from "./body_pacing.ts";
 import { GuardedConnection } from "./guarded_connection.ts";
+import { HeadPacing } from "./head_pacing.ts";
+import { ReadingTurns } from "./reading_turns.ts";
 import { endUnreadableRequests } from "./unreadable_requests.ts";
 
 export type GuardOptions = {
@@ -53,6 +60,8 @@
   readonly maximumUnanswered: number;
 };
 
+/** Their answers depend on the path only. */
+const AUXILIARY_HEADER_LINES = 128;
 const SWEEP_INTERVAL_MILLISECONDS = 50;
 /** Fewer connections cannot hold more than the budget of a small instance. */
 const MINIMUM_SWEPT_CONNECTIONS = 16;
@@ -65,6 +74,8 @@
   readonly #options: GuardOptions;
   readonly #budget: RequestBudget<Socket>;
   readonly #connections = new Map<Socket, GuardedConnection>();
+  readonly #headPacing: HeadPacing;
+  readonly #bodyPacing: BodyPacing;
   readonly #heldBytes = new WeakMap<ServerResponse, number>();
   #sweepTimer: ReturnType<typeof setInterval> | undefined;
 
@@ -73,6 +84,16 @@
     this.#budget = new RequestBudget(
       budgetBytes(options.limits),
     );
+    const clock = () => performance.now();
+    const readingTurns = new ReadingTurns(() =>
+      options.metrics?.incrementCounter("guard_reading_waits")
+    );
+    this.#headPacing = new HeadPacing({ clock, readingTurns });
+    this.#bodyPacing = new BodyPacing({
+      clock,
+      readingTurns,
+      smallChunksPerSecond: options.limits?.smallChunksPerSecond,
+    });
   }
 
   /** Estimated memory of requests in progress and unread answers. */
@@ -86,8 +107,8 @@
       maximumConnections(this.#options.limits, role),
       (socket) => this.#connections.get(socket)?.debt.lateMilliseconds ?? 0,
     );
-    // By default, Node drops header lines after the first thousand.
-    server.maxHeadersCount = 0;
+    // Node drops the lines after these, a thousand by default.
+    server.maxHeadersCount = role === "auxiliary" ? AUXILIARY_HEADER_LINES : 0;
     server.on("connection", (socket) => this.#accept(socket, slots, role));
     server.on("request", (request, response) => {
       if (this.#admit(request, response, role, handlers)) {
@@ -149,6 +170,14 @@
       return false;
     }
     const size = sizeOf(request);
+    const mayReadOn = this.#headPacing.count(connection, size);
+    if (!mayReadOn && role === "auxiliary") {
+      this.#close(socket, "requests-ahead", role);
+      return false;
+    }
+    if (size.bodyBytes >= MAXIMUM_BUFFERED_BODY_BYTES) {
+      this.#bodyPacing.attach(request, response);
+    }
     const cost = requestCost(size);
     const decision = this.#decide(socket, {
       cost,
@@ -166,7 +195,9 @@
     this.#closeExcess(socket);
     if (socket.destroyed) return false;
     const { host, [requestIdHeader]: id } = request.headers;
-    if (host === undefined && request.httpVersion === "1.1") {
+    const isCut = role === "auxiliary" &&
+      size.headerLines >= AUXILIARY_HEADER_LINES;
+    if (host === undefined && request.httpVersion === "1.1" && !isCut) {
       response.writeHead(400, { Connection: "close" }).end();
       return false;
     }
--- a/packages/gateway/src/callers/guarded_connection.ts
+++ b/packages/gateway/src/callers/guarded_connection.ts
@@ -24,6 +24,8 @@
   readonly debt = new CallerDebt();
   /** Whether no further request is answered, and the last answer closes it. */
   isEnding = false;
+  /** When the last request was read; see `HeadPacing`. */
+  lastLoopTurn = -1;
   #lastRequest: IncomingMessage | undefined;
 
   constructor(socket: Socket, slots: ConnectionSlots<Socket>) {
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -81,6 +81,8 @@
     descriptors: Schema.optionalKey(Amount),
     /** Requests without an answer on one connection. */
     unansweredRequests: Schema.optionalKey(Amount),
+    /** Chunks of bodies beyond which connections take turns. */
+    smallChunksPerSecond: Schema.optionalKey(Amount),
   })),
 });
 
--- a/packages/gateway/src/text_server.ts
+++ b/packages/gateway/src/text_server.ts
@@ -7,6 +7,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
+import { endAfterRequest } from "@marigoldford/http_answers/end_after_request";
 import type { Address } from "@marigoldford/kernel/types";
 import { ConnectionGuard } from "./callers/connection_guard.ts";
 import { listenAt } from "./listen.ts";
@@ -39,7 +40,7 @@
       "content-length": Buffer.byteLength(text),
       ...(contentType === undefined ? {} : { "content-type": contentType }),
     });
-    response.end(text);
+    endAfterRequest(response, Buffer.from(text));
   }
   const server = createServer({ requireHostHeader: false });
   guard.attach(server, "auxiliary", { serve });
