Refused uploads that are only discarded give way; large bodies leave room for small requests

Cause: an upload that waits for its turn to be discarded is paused by the entry and did not count as owed, so its connection gave way to none. Uploads, whose heads are small, could also take the memory that is kept for small requests.

Change: only a body that is being served may be paused without being owed. Requests with large bodies use at most 0.6 of the budget.

--- a/packages/gateway/src/callers/guarded_connection.ts
+++ b/packages/gateway/src/callers/guarded_connection.ts
@@ -58,8 +58,11 @@
 
   updateDebt(unreadBytes: number, now: number): void {
     const { bytesRead, bytesWritten, writableLength } = this.socket;
-    // A body that is not being read is not late.
-    const owesBody = this.isBodyMissing && !this.socket.isPaused();
+    // The entry may pause a body that it serves, but an answered one is only
+    // discarded.
+    const isServed = this.responses.size > 0;
+    const owesBody = this.isBodyMissing &&
+      !(isServed && this.socket.isPaused());
     this.debt.update(
       owesBody || unreadBytes > 0,
       bytesRead + bytesWritten - writableLength,
--- a/packages/kernel/src/request_budget.ts
+++ b/packages/kernel/src/request_budget.ts
@@ -3,8 +3,8 @@
  * by an estimate of their cost, and what follows when it is used up.
  *
  * Half of the budget is kept for requests with small heads that are alone on
- * their connection, so that they still fit when others fill the rest. Callers
- * that are late with what they owe give way to such requests.
+ * their connection, so that they still fit when others fill the rest; of these,
+ * the ones with large bodies leave a part to the others. Callers that are late with what they owe give way to such requests.
  */
 import { LATE_MILLISECONDS } from "./caller_debt.ts";
 
@@ -39,6 +39,7 @@
 export const REFUSED_REQUEST_BYTES = 6_000;
 const MAXIMUM_SMALL_REQUEST_BYTES = 80_000;
 const SHARE_OF_OTHERS = 0.5;
+const SHARE_OF_LARGE_BODIES = 0.6;
 const WEIGHT_OF_LATE_CALLERS = 8;
 /** Refusals may exceed the budget by this before a connection is closed. */
 const CLOSING_SHARE = 1.25;
@@ -48,6 +49,11 @@
     size.headerBytes * COPIES_OF_HEADER_BYTES + size.bodyBytes;
 }
 
+function shareOf(isOrdinary: boolean, cost: number): number {
+  if (!isOrdinary) return SHARE_OF_OTHERS;
+  return cost <= MAXIMUM_SMALL_REQUEST_BYTES ? 1 : SHARE_OF_LARGE_BODIES;
+}
+
 function bytesOf({ requestBytes, unreadBytes }: Held): number {
   return requestBytes + unreadBytes;
 }
@@ -86,7 +92,7 @@
     if (unanswered >= maximumUnanswered) return "close";
     const isSmall = headCost <= MAXIMUM_SMALL_REQUEST_BYTES;
     const isOrdinary = unanswered === 0 && isSmall;
-    const share = isOrdinary ? 1 : SHARE_OF_OTHERS;
+    const share = shareOf(isOrdinary, cost);
     const fits = this.#totalBytes === 0 ||
       this.#totalBytes + cost <= this.#budgetBytes * share;
     if (fits) return "serve";
--- a/packages/kernel/src/request_budget_test.ts
+++ b/packages/kernel/src/request_budget_test.ts
@@ -50,6 +50,19 @@
   expect(budget.decide("b", decision)).toBe("serve");
 });
 
+// Guards against: uploads that take all memory from requests without a body.
+it("requests with large bodies leave room for small ones", () => {
+  const { budget, send } = makeBudget();
+  const body = { cost: SMALL + 64 * 1_024, headCost: SMALL };
+  const decision = { ...body, maximumUnanswered: MAXIMUM_UNANSWERED };
+  for (let count = 0;; count++) {
+    if (budget.decide(`upload-${count}`, decision) !== "serve") break;
+    budget.add(`upload-${count}`, body.cost);
+  }
+  expect(budget.heldBytes).toBeGreaterThan(BUDGET_BYTES / 2);
+  expect(send("a", SMALL)).toBe("serve");
+});
+
 it("too many unanswered requests close the connection", () => {
   const { budget, send } = makeBudget();
   for (let count = 0; count < MAXIMUM_UNANSWERED; count++) {
