The time for a caller to read a last answer holds nothing once its connection is closed

Cause: the timer that closes the connection after 2 s kept its socket and state alive also when the caller had closed it before. Found by reading; callers who connect and send malformed heads thousands of times a second would use up tens of MB. Not measured.

Change: the timer ends with the connection. malformed_requests_test passes.

--- a/packages/gateway/src/callers/unreadable_requests.ts
+++ b/packages/gateway/src/callers/unreadable_requests.ts
@@ -89,5 +89,9 @@
 function linger({ socket }: GuardedConnection): void {
   if (socket.destroyed) return;
   socket.end();
-  setTimeout(() => socket.destroy(), MAXIMUM_LINGER_MILLISECONDS).unref();
+  const timer = setTimeout(
+    () => socket.destroy(),
+    MAXIMUM_LINGER_MILLISECONDS,
+  ).unref();
+  socket.once("close", () => clearTimeout(timer));
 }
