--- a/packages/kernel/src/request_budget.ts
+++ b/packages/kernel/src/request_budget.ts
@@ -3,8 +3,9 @@
  * by an estimate of their cost, and what follows when it is used up.
  *
  * Half of the budget is kept for requests with small heads that are alone on
- * their connection, so that they still fit when others fill the rest; of these,
- * the ones with large bodies leave a part to the others. Callers that are late with what they owe give way to such requests.
+ * their connection, so that they still fit when others fill the rest. Those of
+ * them with large bodies leave a part to the others. Callers that are late with
+ * what they owe give way to such requests.
  */
 import { LATE_MILLISECONDS } from "./caller_debt.ts";
 
